--- /dev/null
+++ b/crates/simhost/src/lib.rs
@@ -0,0 +1,368 @@
+//! The simulator's wire around the decisions: frames in, calls, frames out. Nothing is decided here.
+
+mod mandate;
+
+use ironstair::door::Door;
+use ironstair::logic::Gateway;
+use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission, Word};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+
+pub use mandate::read as read_mandate;
+
+type Address = [u8; 6];
+
+const NS: f64 = 1e6;
+
+fn ms(ns: u64) -> Ms {
+    ns as f64 / NS
+}
+
+fn ns(ms: Ms) -> u64 {
+    (ms.max(0.0) * NS) as u64
+}
+
+/// Reads fields off a frame; what is missing is told by name and place.
+struct Fields<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Fields<'a> {
+    fn take(&mut self, n: usize, what: &str) -> Result<&'a [u8], String> {
+        let left = self.bytes.get(self.at..).unwrap_or_default();
+        let got = left.get(..n).ok_or_else(|| {
+            format!("frame ends inside {what}: {n} bytes wanted at byte {}, {} left", self.at, left.len())
+        })?;
+        self.at += n;
+        Ok(got)
+    }
+    fn fixed<const N: usize>(&mut self, what: &str) -> Result<[u8; N], String> {
+        let got = self.take(N, what)?;
+        got.try_into().map_err(|_| format!("{what} has a wrong length"))
+    }
+    fn u8(&mut self, what: &str) -> Result<u8, String> {
+        Ok(self.fixed::<1>(what)?[0])
+    }
+    fn u16(&mut self, what: &str) -> Result<u16, String> {
+        Ok(u16::from_le_bytes(self.fixed(what)?))
+    }
+    fn u32(&mut self, what: &str) -> Result<u32, String> {
+        Ok(u32::from_le_bytes(self.fixed(what)?))
+    }
+    fn u64(&mut self, what: &str) -> Result<u64, String> {
+        Ok(u64::from_le_bytes(self.fixed(what)?))
+    }
+    fn f32(&mut self, what: &str) -> Result<f64, String> {
+        Ok(f32::from_le_bytes(self.fixed(what)?) as f64)
+    }
+    fn values(&mut self) -> Result<Vec<f64>, String> {
+        let n = self.u8("report length")?;
+        (0..n).map(|_| self.f32("report")).collect()
+    }
+}
+
+struct Instance {
+    gateway: Gateway,
+    engines: Door<Address>,
+    submissions: Door<u64>,
+}
+
+/// Writes the module's actions as records.
+struct Pen<'a> {
+    who: u16,
+    to: &'a mut Vec<u8>,
+    engines: &'a Door<Address>,
+    submissions: &'a mut Door<u64>,
+}
+
+impl Pen<'_> {
+    fn record(&mut self, code: u16) {
+        self.to.extend(code.to_le_bytes());
+        self.to.extend(self.who.to_le_bytes());
+    }
+    fn about(&mut self, code: u16, submission: usize) {
+        self.record(code);
+        let id = self.submissions.id(submission);
+        self.to.extend(id.to_le_bytes());
+    }
+    fn text(&mut self, text: &str) {
+        let text = &text.as_bytes()[..text.len().min(u16::MAX as usize)];
+        self.to.extend((text.len() as u16).to_le_bytes());
+        self.to.extend(text);
+    }
+}
+
+impl Outlet for Pen<'_> {
+    fn forward(&mut self, submission: usize, engine: usize) {
+        self.about(67, submission);
+        self.to.extend(self.engines.id(engine));
+        self.to.extend(0u64.to_le_bytes());
+    }
+    fn withdraw(&mut self, submission: usize, nth: u8) {
+        self.about(71, submission);
+        self.to.push(nth);
+    }
+    fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64) {
+        self.about(65, submission);
+        self.to.push(priority);
+        self.to.extend((grant_mb as f32).to_le_bytes());
+    }
+    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+        self.about(77, submission);
+        self.to.extend(ns(come_back).to_le_bytes());
+    }
+    fn scrap(&mut self, submission: usize) {
+        self.about(70, submission);
+    }
+    fn probe(&mut self, engine: usize) {
+        self.record(68);
+        self.to.extend(self.engines.id(engine));
+    }
+    fn subscribe(&mut self) {
+        self.record(66);
+        self.to.push(1);
+    }
+    fn wake(&mut self, after: Ms) {
+        self.record(73);
+        self.to.extend(ns(after).to_le_bytes());
+        self.to.extend(0u64.to_le_bytes());
+    }
+    fn note(&mut self, text: &str) {
+        self.record(75);
+        self.text(text);
+    }
+    fn forget(&mut self, submission: usize) {
+        self.submissions.release(submission);
+    }
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+    tables: BTreeMap<u8, Vec<u8>>,
+}
+
+impl Host {
+    /// Answers one batch: the records after its header, at its clock. The reply has no header yet.
+    pub fn batch(&mut self, count: u32, clock: u64, body: &[u8]) -> Result<Vec<u8>, String> {
+        let mut to = Vec::new();
+        let mut f = Fields { bytes: body, at: 0 };
+        for i in 0..count {
+            let at = f.at;
+            self.record(&mut f, ms(clock), &mut to).map_err(|e| format!("record {i} at byte {at}: {e}"))?;
+        }
+        if f.at != body.len() {
+            return Err(format!("{} bytes left over after {count} records", body.len() - f.at));
+        }
+        Ok(to)
+    }
+
+    fn record(&mut self, f: &mut Fields, now: Ms, to: &mut Vec<u8>) -> Result<(), String> {
+        let code = f.u16("code")?;
+        if code == 9 {
+            let table = f.u8("list number")?;
+            let n = f.u32("list length")? as usize;
+            let bytes = f.take(n.checked_mul(25).ok_or("list too long")?, "list")?;
+            self.tables.insert(table, bytes.to_vec());
+            return Ok(());
+        }
+        if !(1..=12).contains(&code) {
+            return Err(format!("unknown code {code}"));
+        }
+        let who = f.u16("instance")?;
+        if code == 10 {
+            let seed = f.u64("seed")?;
+            let n = f.u32("start message length")? as usize;
+            let text = f.take(n, "start message")?;
+            match mandate::read(text) {
+                Ok(m) => {
+                    let gateway = Gateway::new(m, seed);
+                    let (engines, submissions) = (Door::default(), Door::default());
+                    self.instances.insert(who, Instance { gateway, engines, submissions });
+                }
+                Err(e) => {
+                    let (mut submissions, engines) = (Door::default(), Door::default());
+                    let mut pen = Pen { who, to, engines: &engines, submissions: &mut submissions };
+                    pen.record(76);
+                    pen.text(&format!("start message: {e}"));
+                    self.instances.remove(&who);
+                }
+            }
+            return Ok(());
+        }
+        if code == 7 {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let inst = self.instances.get_mut(&who);
+        let Some(Instance { gateway, engines, submissions }) = inst else {
+            return Err(format!("code {code} for instance {who}, which was not started"));
+        };
+        macro_rules! pen {
+            () => {
+                &mut Pen { who, to, engines, submissions }
+            };
+        }
+        match code {
+            1 => {
+                f.u64("token")?;
+                gateway.due(now, pen!());
+            }
+            2 => {
+                let id = f.u64("id")?;
+                let value = f.f32("value")?;
+                let topic = f.u8("topic")?;
+                f.u8("attempt")?;
+                let engine = f.fixed("engine")?;
+                let word = match topic {
+                    1 => Word::Progress,
+                    2 => Word::Spills,
+                    3 => Word::Waits,
+                    _ => return Ok(()),
+                };
+                if let (Some(s), Some(e)) = (submissions.find(id), engines.find(engine)) {
+                    gateway.progress(now, s, e, word, value, pen!());
+                }
+            }
+            3 => {
+                let id = f.u64("id")?;
+                let band = f.u8("class")? as usize;
+                f.u16("tenant")?;
+                let key = f.u64("key")?;
+                let left = ms(f.u64("time left")?);
+                let work = ms(f.u64("hint")?);
+                let memory_mb = f.f32("memory")?;
+                let tables = f.fixed::<4>("tables")?;
+                let flags = f.u8("flags")?;
+                let tables = u32::from_le_bytes(tables) as u64;
+                let work = (flags & 1 != 0 && work > 0.0).then_some(work);
+                if band >= gateway.bands() {
+                    return Err(format!("class {band} is not among those of the start message"));
+                }
+                let of = Submission { band, key, left, work, memory_mb, tables };
+                let s = submissions.admit(id);
+                gateway.take(now, s, of, pen!());
+            }
+            4 => {
+                let mode = f.u8("mode")?;
+                f.u64("version")?;
+                let table = f.u8("list number")?;
+                if mode == 3 {
+                    gateway.roster_lost(now, pen!());
+                    return Ok(());
+                }
+                let bytes = self.tables.get(&table).ok_or_else(|| format!("list {table} was never sent"))?;
+                let mut lines = Vec::new();
+                for line in bytes.chunks_exact(25) {
+                    let mut l = Fields { bytes: line, at: 0 };
+                    let address: Address = l.fixed("engine")?;
+                    let mut id = [0; 8];
+                    id[..6].copy_from_slice(&address);
+                    let (zone, kind, cell) = (l.u16("zone")?, l.u16("kind")?, l.u16("cell")?);
+                    let standing = match l.u8("state")? {
+                        1 => Standing::Ready,
+                        2 => Standing::Draining,
+                        _ => Standing::Gone,
+                    };
+                    l.f32("weight")?;
+                    let since = ms(l.u64("start")?);
+                    let (engine, id) = (engines.admit(address), u64::from_le_bytes(id));
+                    lines.push(Listed { engine, id, zone, kind, cell, standing, since });
+                }
+                gateway.roster(now, mode != 0, &lines, pen!());
+            }
+            5 => {
+                let id = f.u64("id")?;
+                if let Some(s) = submissions.find(id) {
+                    gateway.left(now, s, pen!());
+                }
+            }
+            6 => {
+                let engine = f.fixed("engine")?;
+                let well = f.u8("status")? == 1;
+                f.u64("latency")?;
+                let report = f.values()?;
+                if let Some(e) = engines.find(engine) {
+                    gateway.probed(now, e, well, &report, pen!());
+                }
+            }
+            8 => {
+                f.u64("id")?;
+                f.u8("attempt")?;
+                f.fixed::<6>("engine")?;
+                f.u64("latency")?;
+            }
+            11 => {
+                let id = f.u64("id")?;
+                let status = f.u8("status")?;
+                f.u64("latency")?;
+                let nth = f.u8("attempt")?;
+                let used = f.u32("cost")?;
+                let closed = f.u8("closed")? != 0;
+                f.fixed::<6>("engine")?;
+                f.values()?;
+                let what = match status {
+                    1 => Outcome::Settled,
+                    0 => Outcome::Error,
+                    2 => Outcome::Full,
+                    3 => Outcome::TimedOut,
+                    4 => Outcome::NoConnection,
+                    5 => Outcome::Reset,
+                    6 => Outcome::Withdrawn,
+                    7 => Outcome::Unsent,
+                    _ => return Err(format!("unknown outcome {status}")),
+                };
+                let told = (used > 0).then_some((used / 4096) as f64);
+                if let Some(s) = submissions.find(id) {
+                    gateway.outcome(now, s, nth, what, closed, told, pen!());
+                }
+            }
+            _ => {
+                f.u32("sender")?;
+                let n = f.u16("message length")? as usize;
+                f.take(n, "message")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Serves frames until the input ends between two of them.
+pub fn serve(mut from: impl Read, mut to: impl Write) -> Result<(), String> {
+    let mut host = Host::default();
+    let mut header = [0; 16];
+    let mut body = Vec::new();
+    for batch in 0u64.. {
+        let mut got = 0;
+        while got < header.len() {
+            match from.read(&mut header[got..]) {
+                Ok(0) if got == 0 => return Ok(()),
+                Ok(0) => {
+                    return Err(format!("batch {batch}: input ends inside the header, after {got} bytes"))
+                }
+                Ok(n) => got += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(format!("batch {batch}: {e}")),
+            }
+        }
+        let mut h = Fields { bytes: &header, at: 0 };
+        let (count, length, clock) = (h.u32("count")?, h.u32("length")? as usize, h.u64("clock")?);
+        let rest =
+            length.checked_sub(8).ok_or_else(|| format!("batch {batch}: length {length} is below 8"))?;
+        body.clear();
+        let read = (&mut from).take(rest as u64).read_to_end(&mut body);
+        let read = read.map_err(|e| format!("batch {batch}: {e}"))?;
+        if read < rest {
+            return Err(format!("batch {batch}: input ends inside the frame, {read} of {rest} bytes"));
+        }
+        let reply = host.batch(count, clock, &body).map_err(|e| format!("batch {batch}: {e}"))?;
+        let write = |to: &mut dyn Write| {
+            to.write_all(&(reply.len() as u32).to_le_bytes())?;
+            to.write_all(&reply)?;
+            to.flush()
+        };
+        write(&mut to).map_err(|e| format!("batch {batch}: reply: {e}"))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/simhost/src/mandate.rs
@@ -0,0 +1,121 @@
+//! Reads the start message. A figure that a rule rests on is never guessed: without it, no start.
+
+use ironstair::{Kind, Mandate, Ms, Ration, Repeat, Terms, Within};
+use serde_json::Value;
+
+fn at<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
+    let found = path.split('.').try_fold(v, |v, key| v.get(key))?;
+    (!found.is_null()).then_some(found)
+}
+
+fn number(v: &Value, path: &str) -> Result<f64, String> {
+    let found = at(v, path).ok_or_else(|| format!("{path} is missing"))?;
+    found.as_f64().filter(|x| x.is_finite() && *x >= 0.0).ok_or_else(|| format!("{path} is not a number"))
+}
+
+fn time(v: &Value, path: &str) -> Result<Ms, String> {
+    Ok(number(v, path)? / crate::NS)
+}
+
+fn number_or(v: &Value, path: &str, absent: f64) -> Result<f64, String> {
+    at(v, path).map_or(Ok(absent), |_| number(v, path))
+}
+
+fn flag(v: &Value, path: &str) -> Result<bool, String> {
+    at(v, path).map_or(Ok(false), |f| f.as_bool().ok_or_else(|| format!("{path} is not true or false")))
+}
+
+fn word<'a>(v: &'a Value, path: &str) -> Result<&'a str, String> {
+    at(v, path).and_then(Value::as_str).ok_or_else(|| format!("{path} is missing or no text"))
+}
+
+fn list<'a>(v: &'a Value, path: &str) -> Result<&'a Vec<Value>, String> {
+    at(v, path).and_then(Value::as_array).ok_or_else(|| format!("{path} is missing or no list"))
+}
+
+fn numbers(v: &Value, path: &str) -> Result<Option<Vec<u16>>, String> {
+    if at(v, path).is_none() {
+        return Ok(None);
+    }
+    let all = list(v, path)?.iter().map(|x| x.as_u64().and_then(|x| u16::try_from(x).ok()));
+    all.collect::<Option<_>>().map(Some).ok_or_else(|| format!("{path} holds what is no index"))
+}
+
+fn terms(c: &Value, threads: Option<&Value>) -> Result<Terms, String> {
+    let within = match at(c, "group").and_then(Value::as_str) {
+        None | Some("all") => Within::All,
+        Some("zone") => Within::Zone,
+        Some("cell") => Within::Cell,
+        Some(other) => return Err(format!("group {other} is unknown")),
+    };
+    let repeat = match word(c, "semantics")? {
+        "pure" => Repeat::Repeatable,
+        "token" => Repeat::Tagged(within),
+        "side_effect" => Repeat::OnceOnly,
+        other => return Err(format!("semantics {other} is unknown")),
+    };
+    let window = match repeat {
+        Repeat::Tagged(_) => time(c, "window_ns")?,
+        _ => 0.0,
+    };
+    Ok(Terms {
+        expected: time(c, "slo_ns")?,
+        expected_stretch: number_or(c, "aim_stretch", 0.0)?,
+        hard_limit: time(c, "give_up_ns")?,
+        payoff: number(c, "worth")?,
+        late_share: number_or(c, "late_worth", 0.0)?,
+        threads: threads.and_then(Value::as_f64).filter(|t| *t >= 1.0).unwrap_or(1.0),
+        repeat,
+        window,
+        in_order: flag(c, "by_arrival")?,
+        zones: numbers(c, "dcs_allowed")?,
+        kinds: numbers(c, "machine_types_allowed")?,
+    })
+}
+
+pub fn read(text: &[u8]) -> Result<Mandate, String> {
+    let v: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let threads = at(&v, "family_info.threads_by_class").and_then(Value::as_array);
+    let bands = list(&v, "classes")?.iter().enumerate();
+    let bands = bands
+        .map(|(i, c)| terms(c, threads.and_then(|t| t.get(i))).map_err(|e| format!("classes[{i}]: {e}")))
+        .collect::<Result<Vec<_>, _>>()?;
+    let value = |list: &str, i: usize| at(&v, list)?.get(i)?.as_f64();
+    let kinds = at(&v, "machine_types").and_then(Value::as_array).map_or(0, Vec::len);
+    let kinds = (0..kinds).map(|i| Kind {
+        cores: value("family_info.size_cores", i).filter(|c| *c > 0.0).unwrap_or(1.0),
+        memory_mb: value("family_info.ram_of_kind_mb", i).unwrap_or(0.0),
+    });
+    let ration = match at(&v, "guarantees.budget_span_ns") {
+        None => None,
+        Some(_) => Some(Ration {
+            spare: number(&v, "guarantees.spare_attempts")?,
+            share: number(&v, "guarantees.repeat_ratio")?,
+            span: time(&v, "guarantees.budget_span_ns")?,
+        }),
+    };
+    let ordered = bands.iter().any(|b| b.in_order);
+    let key_rest = if ordered { time(&v, "guarantees.settle_after_doubt_ns")? } else { 0.0 };
+    let advised = flag(&v, "policy_limits.retry_after")?;
+    Ok(Mandate {
+        gateways: number(&v, "fleet_size")?.max(1.0),
+        bands,
+        kinds: kinds.collect(),
+        most_grant: number_or(&v, "family_info.largest_share", 1.0)?,
+        grants_heeded: flag(&v, "family_info.takes_grants")?,
+        priorities_heeded: flag(&v, "family_info.lanes_count")?,
+        notes_every: time(&v, "family_info.tells_every_ns").unwrap_or(0.0),
+        may_withdraw: flag(&v, "policy_limits.may_cancel")?,
+        may_probe: flag(&v, "policy_limits.probes")?,
+        come_back_most: if advised { time(&v, "policy_limits.max_retry_after_ns")? } else { 0.0 },
+        most_forwards: number(&v, "policy_limits.max_attempts")?.clamp(0.0, 255.0) as u8,
+        must_subscribe: word(&v, "registry_mode")? == "subscribe",
+        cold_from: number(&v, "guarantees.cold_from")?,
+        warm_after: time(&v, "guarantees.warm_after_ns")?,
+        fall_multiple: number(&v, "guarantees.overload_factor")?,
+        fall_span: time(&v, "guarantees.fall_ns")?,
+        ration,
+        key_rest,
+        tick: time(&v, "resolution_ns")?,
+    })
+}
--- /dev/null
+++ b/src/door.rs
@@ -0,0 +1,50 @@
+//! Turns ids of any kind into small indices, so that the decisions need no tables of ids.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+pub struct Door<K> {
+    index: HashMap<K, usize>,
+    ids: Vec<K>,
+    free: Vec<usize>,
+}
+
+impl<K: Copy + Eq + Hash> Default for Door<K> {
+    fn default() -> Self {
+        Door { index: HashMap::new(), ids: Vec::new(), free: Vec::new() }
+    }
+}
+
+impl<K: Copy + Eq + Hash> Door<K> {
+    pub fn admit(&mut self, id: K) -> usize {
+        if let Some(&i) = self.index.get(&id) {
+            return i;
+        }
+        let i = match self.free.pop() {
+            Some(i) => {
+                self.ids[i] = id;
+                i
+            }
+            None => {
+                self.ids.push(id);
+                self.ids.len() - 1
+            }
+        };
+        self.index.insert(id, i);
+        i
+    }
+
+    pub fn find(&self, id: K) -> Option<usize> {
+        self.index.get(&id).copied()
+    }
+
+    pub fn id(&self, index: usize) -> K {
+        self.ids[index]
+    }
+
+    pub fn release(&mut self, index: usize) {
+        if self.index.remove(&self.ids[index]).is_some() {
+            self.free.push(index);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,144 @@
+//! Keeps short and long queries apart on shared engines.
+//!
+//! [`logic`] holds every decision and does no input or output. A host (a wire adapter, later a
+//! socket server) turns ids into indices with [`door`], calls the module and carries out what it
+//! asks for through [`Outlet`].
+
+pub mod door;
+pub mod logic;
+
+/// Milliseconds, with fractions; as a point in time, on the host's monotonic clock.
+pub type Ms = f64;
+
+/// What the module asks its host to do, in the order of the calls.
+pub trait Outlet {
+    fn forward(&mut self, submission: usize, engine: usize);
+    fn withdraw(&mut self, submission: usize, nth: u8);
+    fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64);
+    fn turn_back(&mut self, submission: usize, come_back: Ms);
+    fn scrap(&mut self, submission: usize);
+    fn probe(&mut self, engine: usize);
+    fn subscribe(&mut self);
+    fn wake(&mut self, after: Ms);
+    fn note(&mut self, text: &str);
+    /// Nothing more is expected about this submission: its index may be used again.
+    fn forget(&mut self, submission: usize);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Repeatable,
+    Tagged(Within),
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Within {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What a band's submissions share.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub expected: Ms,
+    pub expected_stretch: f64,
+    pub hard_limit: Ms,
+    pub payoff: f64,
+    pub late_share: f64,
+    pub threads: f64,
+    pub repeat: Repeat,
+    pub window: Ms,
+    pub in_order: bool,
+    pub zones: Option<Vec<u16>>,
+    pub kinds: Option<Vec<u16>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+/// Further forwards: a few, and a share of the submissions taken in the span.
+#[derive(Clone, Copy, Debug)]
+pub struct Ration {
+    pub spare: f64,
+    pub share: f64,
+    pub span: Ms,
+}
+
+/// What a gateway is told at start and holds to for its life.
+#[derive(Clone, Debug)]
+pub struct Mandate {
+    pub gateways: f64,
+    pub bands: Vec<Terms>,
+    pub kinds: Vec<Kind>,
+    pub most_grant: f64,
+    pub grants_heeded: bool,
+    pub priorities_heeded: bool,
+    pub notes_every: Ms,
+    pub may_withdraw: bool,
+    pub may_probe: bool,
+    pub come_back_most: Ms,
+    pub most_forwards: u8,
+    pub must_subscribe: bool,
+    pub cold_from: f64,
+    pub warm_after: Ms,
+    pub fall_multiple: f64,
+    pub fall_span: Ms,
+    pub ration: Option<Ration>,
+    pub key_rest: Ms,
+    pub tick: Ms,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub engine: usize,
+    /// The engine's id as every gateway knows it.
+    pub id: u64,
+    pub zone: u16,
+    pub kind: u16,
+    pub cell: u16,
+    pub standing: Standing,
+    /// Latest start; zero when long past.
+    pub since: Ms,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Submission {
+    pub band: usize,
+    pub key: u64,
+    pub left: Ms,
+    pub work: Option<Ms>,
+    pub memory_mb: f64,
+    pub tables: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Settled,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Withdrawn,
+    Unsent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Progress,
+    Spills,
+    Waits,
+}
