Pressure at 1.5, pace from notes, later tries' age, rest after full

Cause: long queries were let in until their latencies showed, a second or more too late; full engines were asked again at once.

--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -115,10 +115,6 @@
     fn scrap(&mut self, submission: usize) {
         self.about(70, submission);
     }
-    fn probe(&mut self, engine: usize) {
-        self.record(68);
-        self.to.extend(self.engines.id(engine));
-    }
     fn subscribe(&mut self) {
         self.record(66);
         self.to.push(1);
@@ -214,15 +210,15 @@
                 let value = f.f32("value")?;
                 let topic = f.u8("topic")?;
                 f.u8("attempt")?;
-                let engine = f.fixed("engine")?;
+                f.fixed::<6>("engine")?;
                 let word = match topic {
                     1 => Word::Progress,
                     2 => Word::Spills,
                     3 => Word::Waits,
                     _ => return Ok(()),
                 };
-                if let (Some(s), Some(e)) = (submissions.find(id), engines.find(engine)) {
-                    gateway.progress(now, s, e, word, value, pen!());
+                if let Some(s) = submissions.find(id) {
+                    gateway.progress(now, s, word, value, pen!());
                 }
             }
             3 => {
@@ -279,13 +275,10 @@
                 }
             }
             6 => {
-                let engine = f.fixed("engine")?;
-                let well = f.u8("status")? == 1;
+                f.fixed::<6>("engine")?;
+                f.u8("status")?;
                 f.u64("latency")?;
-                let report = f.values()?;
-                if let Some(e) = engines.find(engine) {
-                    gateway.probed(now, e, well, &report, pen!());
-                }
+                f.values()?;
             }
             8 => {
                 f.u64("id")?;
@@ -297,13 +290,13 @@
                 let id = f.u64("id")?;
                 let status = f.u8("status")?;
                 f.u64("latency")?;
-                let nth = f.u8("attempt")?;
+                f.u8("attempt")?;
                 let used = f.u32("cost")?;
                 let closed = f.u8("closed")? != 0;
                 f.fixed::<6>("engine")?;
                 f.values()?;
                 let what = match status {
-                    1 => Outcome::Settled,
+                    1 => Outcome::Settled((used > 0).then_some((used / 4096) as f64)),
                     0 => Outcome::Error,
                     2 => Outcome::Full,
                     3 => Outcome::TimedOut,
@@ -313,9 +306,8 @@
                     7 => Outcome::Unsent,
                     _ => return Err(format!("unknown outcome {status}")),
                 };
-                let told = (used > 0).then_some((used / 4096) as f64);
                 if let Some(s) = submissions.find(id) {
-                    gateway.outcome(now, s, nth, what, closed, told, pen!());
+                    gateway.outcome(now, s, what, closed, pen!());
                 }
             }
             _ => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,6 @@
     fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64);
     fn turn_back(&mut self, submission: usize, come_back: Ms);
     fn scrap(&mut self, submission: usize);
-    fn probe(&mut self, engine: usize);
     fn subscribe(&mut self);
     fn wake(&mut self, after: Ms);
     fn note(&mut self, text: &str);
@@ -70,7 +69,7 @@
 }
 
 /// What a gateway is told at start and holds to for its life.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Mandate {
     pub gateways: f64,
     pub bands: Vec<Terms>,
@@ -93,15 +92,16 @@
     pub tick: Ms,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the roster.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     pub engine: usize,
     /// The engine's id as every gateway knows it.
@@ -114,7 +114,7 @@
     pub since: Ms,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Submission {
     pub band: usize,
     pub key: u64,
@@ -124,9 +124,10 @@
     pub tables: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
-    Settled,
+    /// With the work it took, where the answer tells.
+    Settled(Option<Ms>),
     Error,
     Full,
     TimedOut,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! Every decision of one gateway, without input or output.
 //!
 //! How it is called: a host builds a [`Gateway`] from what it was told at start, then hands over each
-//! event by `roster`, `roster_lost`, `take`, `outcome`, `progress`, `probed`, `left` or `due`. Each
+//! event by `roster`, `roster_lost`, `take`, `outcome`, `progress`, `left` or `due`. Each
 //! call notes what is new and then goes through `RULES` in order, from the top again after one that
 //! fired, until none does. Actions leave through [`Outlet`] at once. Equal calls give equal actions.
 //!
@@ -11,12 +11,12 @@
 use crate::{Listed, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Within, Word};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Threads a core that all gateways together may keep busy on an engine under pressure.
+/// Threads a core that all gateways together may keep busy on an engine under pressure, to start with.
 const FACTOR: f64 = 2.0;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
-const PRESSED: f64 = 1.8;
+const PRESSED: f64 = 1.5;
 /// Half-life of measured paces: long against one submission, short against a trouble.
 const HALF: Ms = 1000.0;
 /// Half-life of means that describe a band's work: these hardly change within a day.
@@ -24,12 +24,15 @@
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 3;
+/// This many times its peers' pace is a fault of the engine, not of its load.
+const SLOW: f64 = 2.5;
 /// A set-aside engine gets one small submission this often at first, and twice as often after each
 /// that went well, until it is back.
 const TRICKLE: Ms = 2000.0;
 const BACK: Ms = 200.0;
-/// After a full answer nothing goes there for this long: the engine said so itself.
-const FULL_REST: Ms = 200.0;
+/// After a full answer nothing goes there for this long, twice as long after each further one.
+const FULL_REST: Ms = 100.0;
+const FULL_MOST: Ms = 3000.0;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.7;
 /// A guess of memory falls short now and then, and spilling costs more than a wider grant.
@@ -57,16 +60,14 @@
 }
 
 /// Permuted congruential generator, 32 bits out of 64.
+#[derive(Default)]
 struct Pcg(u64);
 
 impl Pcg {
-    fn next(&mut self) -> u32 {
+    fn unit(&mut self) -> f64 {
         let s = self.0;
         self.0 = s.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32)
-    }
-    fn unit(&mut self) -> f64 {
-        self.next() as f64 / 4294967296.0
+        ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32) as f64 / 4294967296.0
     }
 }
 
@@ -77,56 +78,64 @@
     x ^ (x >> 32)
 }
 
-struct Aside {
-    next: Ms,
-    gap: Ms,
-}
-
+#[derive(Default)]
 struct Engine {
     listed: Listed,
     cores: f64,
     threads: f64,
     running: u32,
+    /// Threads of forwards that timed out here and may still be at it, and until when.
     ghosts: Vec<(Ms, f64)>,
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
     full_until: Ms,
-    aside: Option<Aside>,
+    full_rest: Ms,
+    /// When set aside: when the next of the trickle may go, and the gap between them.
+    aside: Option<(Ms, Ms)>,
     cold_sent: VecDeque<(Ms, f64)>,
 }
 
 impl Engine {
-    fn ready(&self) -> bool {
-        self.listed.standing == Standing::Ready
+    fn in_use(&self) -> bool {
+        self.listed.standing == Standing::Ready && self.aside.is_none()
     }
     fn failures(&self) -> u32 {
         self.record.count_ones()
     }
-    fn judge(&mut self, well: bool) {
-        self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
-        self.seen = (self.seen + 1).min(RECORD);
-    }
     fn busy(&self) -> f64 {
         self.threads + self.ghosts.iter().map(|g| g.1).sum::<f64>()
     }
+    fn judge(&mut self, now: Ms, well: bool) {
+        self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
+        self.seen = (self.seen + 1).min(RECORD);
+        if let Some((next, gap)) = self.aside {
+            let gap = if well { gap / 2.0 } else { (gap * 2.0).min(TRICKLE * 2.0) };
+            self.aside = Some((if well { next.min(now + gap) } else { now + gap }, gap));
+            if gap < BACK {
+                (self.aside, self.record, self.seen) = (None, 0, 0);
+            }
+        }
+    }
 }
 
 #[derive(Clone, Copy)]
 struct Forward {
     engine: usize,
     sent: Ms,
+    /// Up to when, and to which share done, the engine's pace was counted.
+    counted: (Ms, f64),
     overdue: bool,
     withdrawn: bool,
 }
 
+#[derive(Default)]
 struct Taken {
     of: Submission,
     work: Ms,
     open: bool,
     aim: Ms,
     limit: Ms,
-    at: Ms,
     forwards: u8,
     out: Option<Forward>,
     may_have_run: Vec<(usize, Ms)>,
@@ -142,6 +151,7 @@
     work: Fade,
     bias: Fade,
     best: f64,
+    longest_left: Ms,
 }
 
 #[derive(Default)]
@@ -150,12 +160,13 @@
     rest: Ms,
 }
 
+#[derive(Default)]
 pub struct Gateway {
     m: Mandate,
     chance: Pcg,
     now: Ms,
-    engines: Vec<Option<Engine>>,
-    subs: Vec<Option<Taken>>,
+    engines: Vec<Engine>,
+    subs: Vec<Taken>,
     flying: Vec<usize>,
     bands: Vec<Band>,
     keys: BTreeMap<u64, KeyLine>,
@@ -163,7 +174,7 @@
     further: VecDeque<Ms>,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
-    bound_noted: Ms,
+    note_after: Ms,
 }
 
 type Rule = fn(&mut Gateway, &mut dyn Outlet) -> bool;
@@ -183,21 +194,7 @@
     pub fn new(m: Mandate, seed: u64) -> Self {
         let bands = m.bands.iter().map(|_| Band::default()).collect();
         let subscribe_at = m.must_subscribe.then_some(0.0);
-        Gateway {
-            m,
-            chance: Pcg(seed),
-            now: 0.0,
-            engines: Vec::new(),
-            subs: Vec::new(),
-            flying: Vec::new(),
-            bands,
-            keys: BTreeMap::new(),
-            taken_at: VecDeque::new(),
-            further: VecDeque::new(),
-            wake_at: 0.0,
-            subscribe_at,
-            bound_noted: f64::MIN,
-        }
+        Gateway { m, chance: Pcg(seed), bands, subscribe_at, ..Default::default() }
     }
 
     /// How many bands there are: a host turns away what names another.
@@ -207,35 +204,21 @@
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
         if full {
-            for e in self.engines.iter_mut().flatten() {
-                e.listed.standing = Standing::Gone;
-            }
+            self.engines.iter_mut().for_each(|e| e.listed.standing = Standing::Gone);
         }
         for line in lines {
             if self.engines.len() <= line.engine {
-                self.engines.resize_with(line.engine + 1, || None);
+                self.engines.resize_with(line.engine + 1, Engine::default);
             }
-            let slot = &mut self.engines[line.engine];
-            match slot {
-                // A new start leaves nothing of the old process worth judging it by.
-                Some(e) if e.listed.since == line.since => e.listed = *line,
-                _ => {
-                    let old = slot.take();
-                    *slot = Some(Engine {
-                        listed: *line,
-                        cores: self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores),
-                        threads: old.as_ref().map_or(0.0, |e| e.threads),
-                        running: old.as_ref().map_or(0, |e| e.running),
-                        ghosts: Vec::new(),
-                        record: 0,
-                        seen: 0,
-                        pace: vec![Fade::default(); self.bands.len()],
-                        full_until: 0.0,
-                        aside: None,
-                        cold_sent: old.map_or(VecDeque::new(), |e| e.cold_sent),
-                    });
-                }
+            let e = &mut self.engines[line.engine];
+            // A new start leaves nothing of the old process worth judging it by.
+            if e.pace.is_empty() || e.listed.since != line.since {
+                e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
+                e.pace = vec![Fade::default(); self.m.bands.len()];
+                (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
+                e.ghosts.clear();
             }
+            e.listed = *line;
         }
         self.settle(now, out);
     }
@@ -250,155 +233,122 @@
 
     pub fn take(&mut self, now: Ms, sub: usize, of: Submission, out: &mut dyn Outlet) {
         self.now = now;
+        // Idle time is not banked: a band that comes back starts level with the lowest active one.
+        let active = |b: usize| !self.bands[b].line.is_empty() || self.bands[b].threads > 0.5;
+        let others = (0..self.bands.len()).filter(|&b| active(b)).map(|b| self.charge(b));
+        let level = others.fold(f64::INFINITY, f64::min) * self.weight(of.band);
+        let back = !active(of.band) && level.is_finite();
         let terms = &self.m.bands[of.band];
         let band = &mut self.bands[of.band];
-        if let Some(hint) = of.work {
-            band.work.add(now, LONG_HALF, hint * band.bias.mean().unwrap_or(1.0), 1.0);
+        if back {
+            band.charged = band.charged.max(level);
         }
         let guess = of.work.map(|h| h * band.bias.mean().unwrap_or(1.0));
-        let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        let aim = now + (terms.expected + terms.expected_stretch * work / terms.threads).min(of.left);
-        // Idle time is not banked: a band that comes back starts level with the lowest active one.
-        if self.idle(of.band) {
-            let lowest = (0..self.bands.len()).filter(|&b| !self.idle(b)).map(|b| self.charge(b));
-            let level = lowest.fold(f64::INFINITY, f64::min);
-            if level.is_finite() {
-                let weight = self.weight(of.band);
-                let band = &mut self.bands[of.band];
-                band.charged = band.charged.max(level * weight);
-            }
+        if let Some(work) = guess {
+            band.work.add(now, LONG_HALF, work, 1.0);
         }
+        let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
+        // A client's later try has less time left, and has spent as much of its expected time.
+        band.longest_left = band.longest_left.max(of.left);
+        let within = terms.expected + terms.expected_stretch * work / terms.threads;
+        let (aim, limit) = (now + within - (band.longest_left - of.left), now + of.left);
+        band.line.push(sub);
         if self.subs.len() <= sub {
-            self.subs.resize_with(sub + 1, || None);
-        }
-        self.subs[sub] = Some(Taken {
-            of,
-            work,
-            open: true,
-            aim,
-            limit: now + of.left,
-            at: now,
-            forwards: 0,
-            out: None,
-            may_have_run: Vec::new(),
-            tried: Vec::new(),
-        });
-        self.bands[of.band].line.push(sub);
+            self.subs.resize_with(sub + 1, Taken::default);
+        }
+        self.subs[sub] = Taken { of, work, open: true, aim, limit, ..Default::default() };
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().order.push_back(sub);
         }
-        if self.m.ration.is_some() {
-            self.taken_at.push_back(now);
-        }
+        self.taken_at.push_back(now);
         self.settle(now, out);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn outcome(
-        &mut self,
-        now: Ms,
-        sub: usize,
-        nth: u8,
-        what: Outcome,
-        closed: bool,
-        told: Option<Ms>,
-        out: &mut dyn Outlet,
-    ) {
+    pub fn outcome(&mut self, now: Ms, sub: usize, what: Outcome, closed: bool, out: &mut dyn Outlet) {
         self.now = now;
-        let Some(fwd) = self.subs.get(sub).and_then(|s| s.as_ref()).and_then(|s| s.out) else { return };
-        let s = self.subs[sub].as_mut().unwrap();
-        s.out = None;
+        let Some(fwd) = self.subs.get_mut(sub).and_then(|s| s.out.take()) else { return };
         self.flying.retain(|&f| f != sub);
-        let (b, elapsed) = (s.of.band, now - fwd.sent);
-        let threads = self.m.bands[b].threads;
+        let keyed = self.keyed(sub);
+        let s = &mut self.subs[sub];
+        let (b, elapsed, threads) = (s.of.band, now - fwd.sent, self.m.bands[s.of.band].threads);
         let band = &mut self.bands[b];
         band.threads -= threads;
         band.started -= threads * fwd.sent;
         band.charged += threads * elapsed;
-        let never_ran = matches!(what, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
-        if never_ran {
+        s.tried.push(fwd.engine);
+        if matches!(what, Outcome::Full | Outcome::NoConnection | Outcome::Unsent) {
             s.may_have_run.retain(|r| r.1 != fwd.sent);
         }
-        if what == Outcome::Unsent && nth > 0 {
+        if what == Outcome::Unsent && s.forwards > 1 {
             // The budget leaves out forwards that were never sent.
-            if let Some(i) = self.further.iter().rposition(|&t| t == fwd.sent) {
-                self.further.remove(i);
-            }
+            self.further.iter().rposition(|&t| t == fwd.sent).map(|i| self.further.remove(i));
         }
-        if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn) && self.keyed(sub) {
-            let rest = now + self.m.key_rest;
-            let line = self.keys.entry(self.subs[sub].as_ref().unwrap().of.key).or_default();
-            line.rest = line.rest.max(rest);
+        if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn) && keyed {
+            let line = self.keys.entry(s.of.key).or_default();
+            line.rest = line.rest.max(now + self.m.key_rest);
         }
-        let s = self.subs[sub].as_mut().unwrap();
-        if let (Outcome::Settled, Some(work)) = (what, told) {
-            let band = &mut self.bands[b];
+        if let Outcome::Settled(Some(work)) = what {
             match s.of.work {
                 Some(hint) => band.bias.add(now, LONG_HALF, work, hint),
                 None => band.work.add(now, LONG_HALF, work, 1.0),
             }
             s.work = work.max(1.0);
         }
-        let in_time = now <= s.aim.max(s.at + self.m.bands[b].expected);
-        let (work, open) = (s.work, s.open);
-        s.tried.push(fwd.engine);
-        let expected = self.service(fwd.engine, b, work);
-        if let Some(e) = self.engines[fwd.engine].as_mut() {
-            e.threads -= threads;
-            e.running -= 1;
-            match what {
-                Outcome::Settled => {
-                    if !fwd.overdue {
-                        e.judge(in_time || elapsed < expected * PRESSED);
-                        e.pace[b].add(now, HALF, elapsed * threads, work);
-                    }
-                    Self::fared(e, now, in_time);
+        let (work, open, in_time) = (s.work, s.open, now <= s.aim);
+        let expected = self.service(b, work) * self.stretch(fwd.engine);
+        let usual = self.usual_pace(b) * work / threads;
+        let e = &mut self.engines[fwd.engine];
+        e.threads -= threads;
+        e.running -= 1;
+        match what {
+            Outcome::Settled(_) => {
+                e.full_rest = 0.0;
+                e.pace[b].add(now, HALF, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
+                if !fwd.overdue {
+                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none());
                 }
-                Outcome::Full => e.full_until = now + FULL_REST,
-                Outcome::Error | Outcome::NoConnection | Outcome::Reset => {
-                    e.judge(false);
-                    Self::fared(e, now, false);
-                }
-                // Where a time-out stops nothing, the threads stay busy; the bound must know.
-                Outcome::TimedOut if !self.m.may_withdraw => {
-                    let until = fwd.sent + (expected * 2.0).max(elapsed * 1.5);
-                    e.ghosts.push((until, threads));
-                }
-                _ => {}
             }
+            Outcome::Full => {
+                e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, FULL_MOST);
+                e.full_until = now + e.full_rest;
+            }
+            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false),
+            // Where a time-out stops nothing, the threads stay busy; the bound must know.
+            Outcome::TimedOut if !self.m.may_withdraw => {
+                e.ghosts.push((fwd.sent + (expected * 2.0).max(elapsed * 1.5), threads));
+            }
+            _ => {}
         }
-        if closed || what == Outcome::Settled || !open {
-            self.close(sub);
-            self.retire(sub, out);
+        if closed || !open {
+            self.close(sub, out);
         } else {
             self.bands[b].line.push(sub);
         }
-        self.learn_best(now);
-        self.settle(now, out);
-    }
-
-    pub fn progress(
-        &mut self,
-        now: Ms,
-        _sub: usize,
-        _engine: usize,
-        _word: Word,
-        _v: f64,
-        out: &mut dyn Outlet,
-    ) {
         self.settle(now, out);
     }
 
-    pub fn probed(&mut self, now: Ms, _engine: usize, _well: bool, _report: &[f64], out: &mut dyn Outlet) {
+    /// Word of a forward that is out: `value` is the share done, the memory missing or the cause of waiting.
+    pub fn progress(&mut self, now: Ms, sub: usize, word: Word, value: f64, out: &mut dyn Outlet) {
+        let s = &mut self.subs[sub];
+        let (b, work) = (s.of.band, s.work);
+        if let Some(f) = s.out.as_mut() {
+            let e = &mut self.engines[f.engine];
+            let done = value.clamp(f.counted.1, 1.0);
+            match word {
+                Word::Progress => {
+                    let spent = (now - f.counted.0) * self.m.bands[b].threads;
+                    e.pace[b].add(now, HALF, spent, (done - f.counted.1) * work);
+                    f.counted = (now, done);
+                }
+                // Short of memory: full, for what needs any.
+                Word::Spills | Word::Waits => e.full_until = e.full_until.max(now),
+            }
+        }
         self.settle(now, out);
     }
 
     pub fn left(&mut self, now: Ms, sub: usize, out: &mut dyn Outlet) {
-        if self.subs.get(sub).is_some_and(|s| s.is_some()) {
-            self.close(sub);
-            self.recall(sub, out);
-            self.retire(sub, out);
-        }
+        self.close(sub, out);
         self.settle(now, out);
     }
 
@@ -408,18 +358,18 @@
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
-        for e in self.engines.iter_mut().flatten() {
+        for e in &mut self.engines {
             e.ghosts.retain(|g| g.0 > now);
         }
+        self.learn_best();
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
 
     // The rules, in order.
 
     fn ask_for_the_roster(&mut self, out: &mut dyn Outlet) -> bool {
-        let due = self.subscribe_at.is_some_and(|t| t <= self.now);
+        let due = self.subscribe_at.take_if(|t| *t <= self.now).is_some();
         if due {
-            self.subscribe_at = None;
             out.subscribe();
         }
         due
@@ -427,9 +377,9 @@
 
     // Against a last outcome that never comes, and answers that cross the client's leaving.
     fn answer_at_the_hard_limit(&mut self, out: &mut dyn Outlet) -> bool {
+        let held = self.bands.iter().flat_map(|b| &b.line).chain(&self.flying).copied();
         let late = |s: &Taken| s.open && self.now >= s.limit - 2.0 * self.m.tick;
-        let queued = self.bands.iter().flat_map(|b| &b.line);
-        let found = queued.chain(&self.flying).copied().find(|&s| self.subs[s].as_ref().is_some_and(late));
+        let found = held.into_iter().find(|&s| late(&self.subs[s]));
         found.is_some_and(|s| self.end(s, 0.0, out))
     }
 
@@ -437,80 +387,65 @@
     // the expected time counts as one. Harm: a band whose expected time nobody can meet marks every
     // engine alike, which `set_aside` lets pass since none is then worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
-        let mut fired = false;
-        for i in 0..self.flying.len() {
-            let s = self.subs[self.flying[i]].as_mut().unwrap();
+        for &i in &self.flying {
+            let s = &mut self.subs[i];
             let terms = &self.m.bands[s.of.band];
-            let Some(fwd) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
-            let elapsed = self.now - fwd.sent;
-            if elapsed > terms.expected + terms.expected_stretch * s.work / terms.threads {
-                fwd.overdue = true;
-                fired = true;
-                if let Some(e) = self.engines[fwd.engine].as_mut() {
-                    e.judge(false);
-                    e.pace[s.of.band].add(self.now, HALF, elapsed * terms.threads, s.work);
-                    Self::fared(e, self.now, false);
-                }
+            let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
+            if self.now - f.sent > terms.expected + terms.expected_stretch * s.work / terms.threads {
+                f.overdue = true;
+                let e = &mut self.engines[f.engine];
+                e.judge(self.now, false);
+                e.pace[s.of.band].add(self.now, HALF, (self.now - f.counted.0) * terms.threads, 0.0);
+                f.counted.0 = self.now;
             }
         }
-        fired
+        false
     }
 
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than
     // its peers by its last outcomes. When all worsen together, setting aside would only move the
     // load, so the fleet's own share of failures counts and no more than a third may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        let ready = || self.engines.iter().flatten().filter(|e| e.ready());
+        let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         if (aside + 1) * 3 > n.max(3) || n < 2 {
             return false;
         }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
-        let worst = (0..self.engines.len())
-            .filter(|&i| {
-                self.engines[i].as_ref().is_some_and(|e| {
-                    let others = (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
-                    let own = e.failures() as f64 / e.seen.max(1) as f64;
-                    e.ready() && e.aside.is_none() && e.failures() >= BAD && own > 2.0 * others
-                })
-            })
-            .max_by_key(|&i| self.engines[i].as_ref().map(|e| e.failures()));
-        let Some(i) = worst else { return false };
-        let e = self.engines[i].as_mut().unwrap();
-        e.aside = Some(Aside { next: self.now + TRICKLE, gap: TRICKLE });
+        let worse = |e: &&mut Engine| {
+            let others = (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
+            let own = e.failures() as f64 / e.seen.max(1) as f64;
+            e.in_use() && e.failures() >= BAD && own > 2.0 * others
+        };
+        let Some(e) = self.engines.iter_mut().filter(worse).max_by_key(|e| e.failures()) else {
+            return false;
+        };
+        e.aside = Some((self.now + TRICKLE, TRICKLE));
         out.note(&format!("engine {:012x} set aside: {} of {} failed", e.listed.id, e.failures(), e.seen));
         true
     }
 
     // Against work left on an engine that was set aside, where withdrawing frees it to go elsewhere.
     fn call_back(&mut self, out: &mut dyn Outlet) -> bool {
-        if !self.m.may_withdraw {
-            return false;
-        }
-        let stuck = self.flying.iter().copied().find(|&i| {
-            let s = self.subs[i].as_ref().unwrap();
-            let Some(f) = s.out.filter(|f| !f.withdrawn && s.open) else { return false };
-            let aside = self.engines[f.engine].as_ref().is_some_and(|e| e.aside.is_some());
-            let again = self.now + self.service_anywhere(s.of.band, s.work);
-            aside
-                && f.overdue
+        let stuck = |&&i: &&usize| {
+            let s = &self.subs[i];
+            let again = self.now + self.service(s.of.band, s.work);
+            s.out.is_some_and(|f| f.overdue && !f.withdrawn && self.engines[f.engine].aside.is_some())
                 && again < s.limit
-                && s.forwards < self.m.most_forwards
                 && self.rationed()
+                && self.may_forward_again(s)
                 && self.m.bands[s.of.band].repeat == Repeat::Repeatable
-        });
-        if let Some(i) = stuck {
-            let s = self.subs[i].as_mut().unwrap();
-            s.out.as_mut().unwrap().withdrawn = true;
-            out.withdraw(i, s.forwards - 1);
+        };
+        let found = self.flying.iter().filter(|_| self.m.may_withdraw).find(stuck).copied();
+        if let Some(sub) = found {
+            self.recall(sub, out);
         }
-        stuck.is_some()
+        found.is_some()
     }
 
     // Lowest charged work over weight first; if its submission fits nowhere, the next band's.
     fn release(&mut self, out: &mut dyn Outlet) -> bool {
-        let mut order: Vec<usize> =
-            (0..self.bands.len()).filter(|&b| !self.bands[b].line.is_empty()).collect();
+        let mut order: Vec<usize> = (0..self.bands.len()).collect();
         order.sort_by(|&a, &b| self.charge(a).total_cmp(&self.charge(b)));
         for b in order {
             let Some(sub) = self.first_in(b) else { continue };
@@ -518,8 +453,8 @@
                 self.forward(sub, engine, out);
                 return true;
             }
-            if self.now > self.bound_noted + 5000.0 {
-                self.bound_noted = self.now;
+            if self.now > self.note_after {
+                self.note_after = self.now + 5000.0;
                 out.note(&format!("bound holds: band {b} waits, {} in line", self.bands[b].line.len()));
             }
         }
@@ -529,17 +464,13 @@
     fn turn_back(&mut self, out: &mut dyn Outlet) -> bool {
         for b in 0..self.bands.len() {
             let line = &self.bands[b].line;
-            if line.len() > self.room(b) {
-                let newest = *line.last().unwrap();
-                return self.end(newest, self.m.come_back_most, out);
-            }
-            let hopeless = line.iter().copied().find(|&i| {
-                let s = self.subs[i].as_ref().unwrap();
-                let spent = s.forwards >= self.m.most_forwards;
-                let stuck = s.forwards > 0 && !self.may_forward_again(s);
-                spent || stuck || self.now + self.service_anywhere(b, s.work) > s.aim.min(s.limit)
-            });
-            if let Some(i) = hopeless {
+            let hopeless = |i: &usize| {
+                let s = &self.subs[*i];
+                s.forwards > 0 && !self.may_forward_again(s)
+                    || self.now + self.service(b, s.work) > s.aim.min(s.limit)
+            };
+            let full = line.last().filter(|_| line.len() > self.room(b));
+            if let Some(i) = full.or(line.iter().find(|i| hopeless(i))).copied() {
                 return self.end(i, self.m.come_back_most, out);
             }
         }
@@ -547,8 +478,8 @@
     }
 
     fn wake(&mut self, out: &mut dyn Outlet) -> bool {
-        let anything = !self.flying.is_empty() || self.bands.iter().any(|b| !b.line.is_empty());
-        if self.wake_at <= self.now && (anything || self.subscribe_at.is_some()) {
+        let waiting = self.bands.iter().any(|b| !b.line.is_empty()) || self.subscribe_at.is_some();
+        if self.wake_at <= self.now && (waiting || !self.flying.is_empty()) {
             self.wake_at = self.now + 2.0 * self.m.tick;
             out.wake(2.0 * self.m.tick);
         }
@@ -557,15 +488,10 @@
 
     // What the rules ask.
 
-    fn idle(&self, b: usize) -> bool {
-        self.bands[b].line.is_empty() && self.bands[b].threads < 0.5
-    }
-
     /// Payoff for the work it takes; until that is known, payoff.
     fn weight(&self, b: usize) -> f64 {
-        let work = |b: usize| self.bands[b].work.mean();
-        let known = (0..self.bands.len()).all(|b| work(b).is_some());
-        self.m.bands[b].payoff / if known { work(b).unwrap_or(1.0) } else { 1.0 }
+        let known = self.bands.iter().all(|b| b.work.mean().is_some());
+        self.m.bands[b].payoff / if known { self.usual_work(b) } else { 1.0 }
     }
 
     fn charge(&self, b: usize) -> f64 {
@@ -573,36 +499,32 @@
         (band.charged + band.threads * self.now - band.started) / self.weight(b)
     }
 
+    fn usual_work(&self, b: usize) -> f64 {
+        let terms = &self.m.bands[b];
+        self.bands[b].work.mean().unwrap_or(terms.expected * terms.threads)
+    }
+
     fn keyed(&self, sub: usize) -> bool {
-        let of = self.subs[sub].as_ref().unwrap().of;
+        let of = &self.subs[sub].of;
         of.key != 0 && self.m.bands[of.band].in_order
     }
 
     /// Smallest work first among those that can still make their expected time.
     fn first_in(&self, b: usize) -> Option<usize> {
         let rank = |i: usize| {
-            let s = self.subs[i].as_ref().unwrap();
-            let late = self.now + self.service_anywhere(b, s.work) > s.aim;
-            (late, s.work)
+            let s = &self.subs[i];
+            (self.now + self.service(b, s.work) > s.aim, s.work)
         };
-        let line = self.bands[b].line.iter().copied();
-        line.filter(|&i| self.may_go(i)).min_by(|&x, &y| {
-            let (x, y) = (rank(x), rank(y));
-            x.0.cmp(&y.0).then(x.1.total_cmp(&y.1))
-        })
+        let line = self.bands[b].line.iter().copied().filter(|&i| self.may_go(i));
+        line.min_by(|&x, &y| rank(x).partial_cmp(&rank(y)).unwrap_or(std::cmp::Ordering::Equal))
     }
 
     fn may_go(&self, sub: usize) -> bool {
-        let s = self.subs[sub].as_ref().unwrap();
-        if s.forwards > 0 && !(self.rationed() && self.may_forward_again(s)) {
-            return false;
-        }
-        // Order per key, and rest after an outcome that leaves the engine perhaps still at it.
-        !self.keyed(sub)
-            || self
-                .keys
-                .get(&s.of.key)
-                .is_none_or(|k| k.order.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.rest))
+        let s = &self.subs[sub];
+        // Order per key, and rest after an outcome that leaves an engine perhaps still at it.
+        let turn = |k: &KeyLine| k.order.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.rest);
+        (s.forwards == 0 || self.rationed() && self.may_forward_again(s))
+            && (!self.keyed(sub) || self.keys.get(&s.of.key).is_none_or(turn))
     }
 
     fn may_forward_again(&self, s: &Taken) -> bool {
@@ -623,14 +545,20 @@
         further + 1.0 <= r.spare + r.share * taken
     }
 
+    /// The pace of an engine in a band where enough was measured of late: time on its threads over work.
+    fn pace(&self, e: &Engine, b: usize, enough: f64) -> Option<f64> {
+        let known = e.pace[b].weight(self.now, HALF) > enough * self.usual_work(b);
+        e.pace[b].mean().filter(|_| known)
+    }
+
     /// Times the best pace at which this engine answers now; 1 when nothing is known.
-    fn stretch(&self, e: &Engine) -> f64 {
+    fn stretch(&self, engine: usize) -> f64 {
+        let e = &self.engines[engine];
         let (mut sum, mut weight) = (0.0, 0.0);
-        for (band, pace) in self.bands.iter().zip(&e.pace) {
-            let usual = band.work.mean().unwrap_or(1.0);
-            let w = pace.weight(self.now, HALF) / usual;
-            if w > 0.5 && band.best > 0.0 {
-                sum += w * pace.mean().unwrap_or(band.best) / band.best;
+        for (b, band) in self.bands.iter().enumerate().filter(|b| b.1.best > 0.0) {
+            if let Some(pace) = self.pace(e, b, 0.5) {
+                let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b);
+                sum += w * pace / band.best;
                 weight += w;
             }
         }
@@ -641,164 +569,132 @@
         }
     }
 
-    fn learn_best(&mut self, now: Ms) {
-        for (b, band) in self.bands.iter_mut().enumerate() {
-            let usual = band.work.mean().unwrap_or(1.0);
-            for e in self.engines.iter().flatten() {
-                if e.pace[b].weight(now, HALF) > 2.0 * usual {
-                    let mean = e.pace[b].mean().unwrap_or(1.0);
-                    if band.best == 0.0 || mean < band.best {
-                        band.best = mean;
-                    }
-                }
+    fn learn_best(&mut self) {
+        for b in 0..self.bands.len() {
+            let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 2.0));
+            let least = paces.fold(f64::INFINITY, f64::min);
+            let best = &mut self.bands[b].best;
+            if least.is_finite() && (*best == 0.0 || least < *best) {
+                *best = least;
             }
         }
     }
 
-    fn service(&self, engine: usize, b: usize, work: Ms) -> Ms {
-        let stretch = self.engines[engine].as_ref().map_or(1.0, |e| self.stretch(e));
-        work / self.m.bands[b].threads
-            * if self.bands[b].best > 0.0 { self.bands[b].best } else { 1.0 }
-            * stretch
+    /// The middle pace among engines in use: what a submission of this band may count on.
+    fn usual_pace(&self, b: usize) -> f64 {
+        let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 0.5));
+        let mut paces: Vec<f64> = paces.collect();
+        paces.sort_by(f64::total_cmp);
+        let best = self.bands[b].best;
+        paces.get(paces.len() / 2).copied().unwrap_or(if best > 0.0 { best } else { 1.0 })
     }
 
-    fn service_anywhere(&self, b: usize, work: Ms) -> Ms {
-        work / self.m.bands[b].threads * if self.bands[b].best > 0.0 { self.bands[b].best } else { 1.0 }
+    /// How long a submission would take now at the usual pace.
+    fn service(&self, b: usize, work: Ms) -> Ms {
+        work / self.m.bands[b].threads * self.usual_pace(b)
     }
 
     /// A line longer than this gateway's share of the fleet can work off in the expected time is full.
     fn room(&self, b: usize) -> usize {
-        let cores: f64 = self.engines.iter().flatten().filter(|e| e.ready()).map(|e| e.cores).sum();
-        let terms = &self.m.bands[b];
-        let usual = self.bands[b].work.mean().unwrap_or(terms.expected);
+        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
+        let (terms, usual) = (&self.m.bands[b], self.usual_work(b));
         let within = terms.expected + terms.expected_stretch * usual / terms.threads;
         (2.0 * cores * within / usual / self.m.gateways).max(4.0) as usize
     }
 
-    fn pressed(&self, e: &Engine) -> bool {
-        self.now < e.full_until || self.stretch(e) > PRESSED
-    }
-
-    fn open(&self, e: &Engine, threads: f64) -> bool {
-        let bound = e.cores * FACTOR / self.m.gateways;
-        if self.now < e.full_until {
-            return false;
-        }
-        e.running == 0 || e.busy() + threads <= bound || !self.pressed(e)
-    }
-
-    fn usual_work(&self, b: usize) -> f64 {
-        let terms = &self.m.bands[b];
-        self.bands[b].work.mean().unwrap_or(terms.expected * terms.threads)
+    fn open(&self, engine: usize, threads: f64) -> bool {
+        let e = &self.engines[engine];
+        let within = e.running == 0 || e.busy() + threads <= e.cores * FACTOR / self.m.gateways;
+        self.now > e.full_until && (within || self.stretch(engine) <= PRESSED)
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
     fn cold_room(&self, e: &Engine, b: usize) -> bool {
         let age = self.now - e.listed.since;
-        if e.listed.since <= 0.0 || age >= self.m.warm_after {
-            return true;
-        }
         let capacity = 0.85 * e.cores * self.m.cold_from * self.m.fall_span;
         let share = COLD_SHARE * self.m.fall_multiple * capacity / self.m.gateways;
-        let sent: f64 = e.cold_sent.iter().filter(|s| s.0 >= self.now - self.m.fall_span).map(|s| s.1).sum();
-        sent + self.usual_work(b) <= share
+        let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - self.m.fall_span);
+        let sent = recent.map(|s| s.1).sum::<f64>() + self.usual_work(b);
+        e.listed.since <= 0.0 || age >= self.m.warm_after || sent <= share
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
-        let terms = &self.m.bands[s.of.band];
-        let line = &e.listed;
-        let home = terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
-            && terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind));
+        let (terms, line) = (&self.m.bands[s.of.band], &e.listed);
         let same = |other: &Listed| match terms.repeat {
             Repeat::Tagged(Within::Zone) => other.zone == line.zone,
             Repeat::Tagged(Within::Cell) => other.cell == line.cell,
             _ => true,
         };
-        let seen = s.may_have_run.iter().all(|r| self.engines[r.0].as_ref().is_none_or(|o| same(&o.listed)));
-        home && seen && e.ready() && self.cold_room(e, s.of.band)
+        terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
+            && terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
+            && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
+            && line.standing == Standing::Ready
+            && self.cold_room(e, s.of.band)
     }
 
     /// The shared order hashed from the table group; among its homes the one with the fewest own
     /// threads a core, slower cores counting for less; then the others in order.
     fn place(&self, sub: usize) -> Option<usize> {
-        let s = self.subs[sub].as_ref().unwrap();
+        let s = &self.subs[sub];
         let threads = self.m.bands[s.of.band].threads;
-        let engine = |i: usize| self.engines[i].as_ref().unwrap();
-        let mut order: Vec<(u64, usize)> = (0..self.engines.len())
-            .filter(|&i| self.engines[i].as_ref().is_some_and(|e| self.allowed(s, e)))
-            .map(|i| (mix(mix(s.of.tables) ^ engine(i).listed.id), i))
-            .collect();
-        order.sort();
+        let rank = |i: usize| mix(mix(s.of.tables) ^ self.engines[i].listed.id);
+        let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
+        let mut order: Vec<usize> = able.collect();
+        order.sort_by_key(|&i| rank(i));
         let small = (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min);
-        let fresh = |i: usize| !s.tried.contains(&i);
-        let due = |i: usize| engine(i).aside.as_ref().is_some_and(|a| a.next <= self.now);
+        let due = |&i: &usize| self.engines[i].aside.is_some_and(|a| a.0 <= self.now);
         if s.forwards == 0 && s.work <= small {
-            if let Some(&(_, i)) = order.iter().find(|o| due(o.1)) {
+            if let Some(i) = order.iter().copied().find(due) {
                 return Some(i);
             }
         }
-        for keep in [
-            |e: &Engine, fresh: bool| e.aside.is_none() && fresh,
-            |e: &Engine, _| e.aside.is_none(),
-            |_: &Engine, _| true,
-        ] {
-            let left: Vec<usize> = order.iter().map(|o| o.1).filter(|&i| keep(engine(i), fresh(i))).collect();
-            if left.is_empty() {
-                continue;
-            }
-            let load = |i: usize| engine(i).busy() / engine(i).cores * self.stretch(engine(i));
-            let homes = left.iter().take(HOMES).copied().filter(|&i| self.open(engine(i), threads));
-            return homes
-                .min_by(|&x, &y| load(x).total_cmp(&load(y)))
-                .or_else(|| left.iter().copied().skip(HOMES).find(|&i| self.open(engine(i), threads)));
-        }
-        None
+        // What was tried already comes last but for what is set aside.
+        let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
+        let best = order.iter().map(|&i| last(i)).min()?;
+        order.retain(|&i| last(i) == best || best == 3);
+        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores * self.stretch(i);
+        let (homes, rest) = order.split_at(HOMES.min(order.len()));
+        let home = homes.iter().copied().filter(|&i| self.open(i, threads));
+        home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
+            .or_else(|| rest.iter().copied().find(|&i| self.open(i, threads)))
     }
 
     // What the rules do.
 
     fn forward(&mut self, sub: usize, engine: usize, out: &mut dyn Outlet) {
         let now = self.now;
-        let s = self.subs[sub].as_mut().unwrap();
-        let b = s.of.band;
-        let again = s.forwards > 0;
+        let s = &mut self.subs[sub];
+        let (b, memory, again) = (s.of.band, s.of.memory_mb, s.forwards > 0);
         s.forwards += 1;
         s.may_have_run.push((engine, now));
-        s.out = Some(Forward { engine, sent: now, overdue: false, withdrawn: false });
-        let memory = s.of.memory_mb;
+        s.out = Some(Forward { engine, sent: now, counted: (now, 0.0), overdue: false, withdrawn: false });
         self.flying.push(sub);
         let threads = self.m.bands[b].threads;
         let band = &mut self.bands[b];
         band.line.retain(|&i| i != sub);
         band.threads += threads;
         band.started += threads * now;
-        if let Some(r) = self.m.ration {
-            if again {
-                self.further.push_back(now);
-            }
-            while self.further.front().is_some_and(|&t| t < now - r.span) {
-                self.further.pop_front();
-            }
-            while self.taken_at.front().is_some_and(|&t| t < now - r.span) {
-                self.taken_at.pop_front();
-            }
+        if again {
+            self.further.push_back(now);
+        }
+        let span = self.m.ration.map_or(0.0, |r| r.span);
+        self.further.retain(|&t| t >= now - span);
+        while self.taken_at.front().is_some_and(|&t| t < now - span) {
+            self.taken_at.pop_front();
         }
         let usual = self.usual_work(b);
-        let e = self.engines[engine].as_mut().unwrap();
+        let e = &mut self.engines[engine];
         e.threads += threads;
         e.running += 1;
         e.cold_sent.push_back((now, usual));
-        while e.cold_sent.front().is_some_and(|c| c.0 < now - self.m.fall_span) {
-            e.cold_sent.pop_front();
-        }
+        e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
         if let Some(a) = e.aside.as_mut() {
-            a.next = now + a.gap;
+            a.0 = now + a.1;
         }
         if !again && (self.m.priorities_heeded || self.m.grants_heeded) {
-            let most =
-                self.m.kinds.iter().map(|k| k.memory_mb).fold(f64::INFINITY, f64::min) * self.m.most_grant;
-            let grant = if self.m.grants_heeded { (memory * GRANT).min(most) } else { 0.0 };
-            out.terms(sub, self.priority(b), grant);
+            let least = self.m.kinds.iter().map(|k| k.memory_mb).fold(f64::INFINITY, f64::min);
+            let grant = if self.m.grants_heeded { memory * GRANT } else { 0.0 };
+            out.terms(sub, self.priority(b), grant.min(least * self.m.most_grant));
         }
         out.forward(sub, engine);
     }
@@ -810,71 +706,48 @@
         [2.0, 6.0, 12.0].iter().filter(|&&t| share >= t).count() as u8
     }
 
-    fn fared(e: &mut Engine, now: Ms, well: bool) {
-        let Some(a) = e.aside.as_mut() else { return };
-        if !well {
-            a.gap = (a.gap * 2.0).min(TRICKLE * 2.0);
-            a.next = now + a.gap;
-            return;
-        }
-        a.gap /= 2.0;
-        a.next = a.next.min(now + a.gap);
-        if a.gap < BACK {
-            e.aside = None;
-            e.record = 0;
-            e.seen = 0;
-        }
-    }
-
     /// The final answer for what is given up: turned back where that claim is allowed, else scrapped.
     fn end(&mut self, sub: usize, come_back: Ms, out: &mut dyn Outlet) -> bool {
-        let s = self.subs[sub].as_ref().unwrap();
-        let harmless = s.may_have_run.is_empty()
-            || match self.m.bands[s.of.band].repeat {
-                Repeat::Repeatable => true,
-                Repeat::Tagged(Within::All) => self.may_forward_again(s),
-                _ => false,
-            };
+        let s = &self.subs[sub];
+        let terms = &self.m.bands[s.of.band];
+        let within = s.may_have_run.iter().all(|r| self.now <= r.1 + terms.window);
+        let harmless = match terms.repeat {
+            Repeat::Repeatable => true,
+            Repeat::Tagged(Within::All) => within,
+            _ => s.may_have_run.is_empty(),
+        };
         if harmless {
             out.turn_back(sub, come_back);
         } else {
             out.scrap(sub);
         }
-        self.close(sub);
-        self.recall(sub, out);
-        self.retire(sub, out);
+        self.close(sub, out);
         true
     }
 
-    fn close(&mut self, sub: usize) {
-        let s = self.subs[sub].as_mut().unwrap();
+    /// The submission is over for its client; its index is free again once no forward is out.
+    fn close(&mut self, sub: usize, out: &mut dyn Outlet) {
+        let s = &mut self.subs[sub];
         s.open = false;
-        let line = &mut self.bands[s.of.band].line;
-        line.retain(|&i| i != sub);
-    }
-
-    fn recall(&mut self, sub: usize, out: &mut dyn Outlet) {
-        let s = self.subs[sub].as_mut().unwrap();
-        let (may, nth) = (self.m.may_withdraw, s.forwards.saturating_sub(1));
-        if let Some(f) = s.out.as_mut().filter(|f| may && !f.withdrawn) {
-            f.withdrawn = true;
-            out.withdraw(sub, nth);
-        }
-    }
-
-    fn retire(&mut self, sub: usize, out: &mut dyn Outlet) {
-        if self.subs[sub].as_ref().is_none_or(|s| s.open || s.out.is_some()) {
-            return;
+        self.bands[s.of.band].line.retain(|&i| i != sub);
+        if s.out.is_some() {
+            return self.recall(sub, out);
         }
         if self.keyed(sub) {
-            let key = self.subs[sub].as_ref().unwrap().of.key;
-            if let Some(k) = self.keys.get_mut(&key) {
+            if let Some(k) = self.keys.get_mut(&self.subs[sub].of.key) {
                 k.order.retain(|&i| i != sub);
             }
-            let now = self.now;
-            self.keys.retain(|_, k| !k.order.is_empty() || k.rest > now);
+            self.keys.retain(|_, k| !k.order.is_empty() || k.rest > self.now);
         }
-        self.subs[sub] = None;
         out.forget(sub);
     }
+
+    fn recall(&mut self, sub: usize, out: &mut dyn Outlet) {
+        let s = &mut self.subs[sub];
+        let nth = s.forwards.saturating_sub(1);
+        if let Some(f) = s.out.as_mut().filter(|f| self.m.may_withdraw && !f.withdrawn) {
+            f.withdrawn = true;
+            out.withdraw(sub, nth);
+        }
+    }
 }
