--- a/src/logic.rs
+++ b/src/logic.rs
@@ -236,7 +236,7 @@
         // Idle time is not banked: a band that comes back starts level with the lowest active one.
         let active = |b: usize| !self.bands[b].line.is_empty() || self.bands[b].threads > 0.5;
         let others = (0..self.bands.len()).filter(|&b| active(b)).map(|b| self.charge(b));
-        let level = others.fold(f64::INFINITY, f64::min) * self.weight(of.band);
+        let level = others.fold(f64::INFINITY, f64::min);
         let back = !active(of.band) && level.is_finite();
         let terms = &self.m.bands[of.band];
         let band = &mut self.bands[of.band];
@@ -268,16 +268,17 @@
         self.now = now;
         let Some(fwd) = self.subs.get_mut(sub).and_then(|s| s.out.take()) else { return };
         self.flying.retain(|&f| f != sub);
-        let keyed = self.keyed(sub);
+        let (keyed, weight) = (self.keyed(sub), self.weight(self.subs[sub].of.band));
         let s = &mut self.subs[sub];
         let (b, elapsed, threads) = (s.of.band, now - fwd.sent, self.m.bands[s.of.band].threads);
         let band = &mut self.bands[b];
         band.threads -= threads;
         band.started -= threads * fwd.sent;
-        band.charged += threads * elapsed;
+        band.charged += threads * elapsed / weight;
         s.tried.push(fwd.engine);
         if matches!(what, Outcome::Full | Outcome::NoConnection | Outcome::Unsent) {
-            s.may_have_run.retain(|r| r.1 != fwd.sent);
+            // The last alone: an earlier one, sent at the same moment, may have run.
+            s.may_have_run.pop();
         }
         if what == Outcome::Unsent && s.forwards > 1 {
             // The budget leaves out forwards that were never sent.
@@ -412,10 +413,11 @@
             return false;
         }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
+        // Sums over ready engines only: what left the roster has a record too, and is not among them.
         let worse = |e: &&mut Engine| {
-            let others = (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
+            let others = |e: &Engine| (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
             let own = e.failures() as f64 / e.seen.max(1) as f64;
-            e.in_use() && e.failures() >= BAD && own > 2.0 * others
+            e.in_use() && e.failures() >= BAD && own > 2.0 * others(e)
         };
         let Some(e) = self.engines.iter_mut().filter(worse).max_by_key(|e| e.failures()) else {
             return false;
@@ -496,7 +498,7 @@
 
     fn charge(&self, b: usize) -> f64 {
         let band = &self.bands[b];
-        (band.charged + band.threads * self.now - band.started) / self.weight(b)
+        band.charged + (band.threads * self.now - band.started) / self.weight(b)
     }
 
     fn usual_work(&self, b: usize) -> f64 {
@@ -643,7 +645,7 @@
         order.sort_by_key(|&i| rank(i));
         let small = (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min);
         let due = |&i: &usize| self.engines[i].aside.is_some_and(|a| a.0 <= self.now);
-        if s.forwards == 0 && s.work <= small {
+        if s.forwards == 0 && s.work <= 1.5 * small {
             if let Some(i) = order.iter().copied().find(due) {
                 return Some(i);
             }
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,277 @@
+//! What the tests share: a mandate, a sheet that takes down actions, and the referee, a slow and plain
+//! model of the seven rules that sees the same events as the module and every action it takes.
+#![allow(dead_code)]
+
+use ironstair::{
+    Kind, Listed, Mandate, Ms, Outcome, Outlet, Ration, Repeat, Standing, Submission, Terms, Within,
+};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Forward(usize, usize),
+    Withdraw(usize, u8),
+    Terms(usize, u8, f64),
+    TurnBack(usize, Ms),
+    Scrap(usize),
+    Subscribe,
+    Wake(Ms),
+    Note(String),
+    Forget(usize),
+}
+
+#[derive(Default)]
+pub struct Sheet(pub Vec<Act>);
+
+impl Sheet {
+    pub fn forwards(&self) -> Vec<(usize, usize)> {
+        let sent = self.0.iter();
+        sent.filter_map(|a| if let Act::Forward(s, e) = a { Some((*s, *e)) } else { None }).collect()
+    }
+}
+
+impl Outlet for Sheet {
+    fn forward(&mut self, submission: usize, engine: usize) {
+        self.0.push(Act::Forward(submission, engine));
+    }
+    fn withdraw(&mut self, submission: usize, nth: u8) {
+        self.0.push(Act::Withdraw(submission, nth));
+    }
+    fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64) {
+        self.0.push(Act::Terms(submission, priority, grant_mb));
+    }
+    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+        self.0.push(Act::TurnBack(submission, come_back));
+    }
+    fn scrap(&mut self, submission: usize) {
+        self.0.push(Act::Scrap(submission));
+    }
+    fn subscribe(&mut self) {
+        self.0.push(Act::Subscribe);
+    }
+    fn wake(&mut self, after: Ms) {
+        self.0.push(Act::Wake(after));
+    }
+    fn note(&mut self, text: &str) {
+        self.0.push(Act::Note(text.into()));
+    }
+    fn forget(&mut self, submission: usize) {
+        self.0.push(Act::Forget(submission));
+    }
+}
+
+pub fn band(payoff: f64, threads: f64, repeat: Repeat) -> Terms {
+    Terms {
+        expected: 500.0,
+        expected_stretch: 2.0,
+        hard_limit: 3000.0,
+        payoff,
+        late_share: 0.1,
+        threads,
+        repeat,
+        window: 1000.0,
+        in_order: false,
+        zones: None,
+        kinds: None,
+    }
+}
+
+pub fn mandate(bands: Vec<Terms>) -> Mandate {
+    Mandate {
+        gateways: 2.0,
+        bands,
+        kinds: vec![Kind { cores: 8.0, memory_mb: 8192.0 }; 2],
+        most_grant: 0.5,
+        priorities_heeded: true,
+        most_forwards: 4,
+        cold_from: 0.3,
+        warm_after: 10_000.0,
+        fall_multiple: 3.0,
+        fall_span: 1000.0,
+        key_rest: 300.0,
+        tick: 5.0,
+        ..Default::default()
+    }
+}
+
+/// Terms of every sort that the rules tell apart.
+pub fn motley() -> Mandate {
+    let tagged = |within| band(2.0, 1.0, Repeat::Tagged(within));
+    let mut m = mandate(vec![
+        band(1.0, 1.0, Repeat::Repeatable),
+        band(6.0, 4.0, Repeat::OnceOnly),
+        tagged(Within::All),
+        tagged(Within::Zone),
+        tagged(Within::Cell),
+    ]);
+    m.bands[0].in_order = true;
+    m.bands[2].in_order = true;
+    m.bands[1].zones = Some(vec![0]);
+    m.bands[3].kinds = Some(vec![1]);
+    m.ration = Some(Ration { spare: 2.0, share: 0.1, span: 2000.0 });
+    m.may_withdraw = true;
+    m
+}
+
+pub fn line(engine: usize) -> Listed {
+    let id = 1000 + 7 * engine as u64;
+    let (zone, kind, cell) = (engine as u16 % 2, engine as u16 / 2 % 2, engine as u16 / 2);
+    Listed { engine, id, zone, kind, cell, standing: Standing::Ready, since: 0.0 }
+}
+
+pub fn ask(band: usize, work: Ms) -> Submission {
+    Submission { band, key: 0, left: 3000.0, work: Some(work), memory_mb: 100.0, tables: 3 }
+}
+
+#[derive(Clone)]
+pub struct Try {
+    pub engine: usize,
+    pub sent: Ms,
+    pub end: Option<(Ms, Outcome)>,
+}
+
+impl Try {
+    fn may_have_run(&self) -> bool {
+        let never = [Outcome::Full, Outcome::NoConnection, Outcome::Unsent];
+        self.end.is_none_or(|e| !never.contains(&e.1))
+    }
+}
+
+pub struct Held {
+    pub of: Submission,
+    pub taken: Ms,
+    pub over: bool,
+    pub tries: Vec<Try>,
+}
+
+/// Keeps everything it ever saw and looks through all of it for each action.
+pub struct Referee {
+    pub m: Mandate,
+    pub held: Vec<Held>,
+    pub at: BTreeMap<usize, usize>,
+    pub roster: BTreeMap<usize, Listed>,
+    pub off_since: BTreeMap<usize, Ms>,
+}
+
+impl Referee {
+    pub fn new(m: Mandate) -> Self {
+        let (at, roster, off_since) = Default::default();
+        Referee { m, held: Vec::new(), at, roster, off_since }
+    }
+
+    pub fn told(&mut self, now: Ms, lines: &[Listed]) {
+        for l in lines {
+            self.roster.insert(l.engine, *l);
+            match l.standing {
+                Standing::Ready => self.off_since.remove(&l.engine),
+                _ => self.off_since.insert(l.engine, now),
+            };
+        }
+    }
+
+    pub fn took(&mut self, now: Ms, slot: usize, of: Submission) {
+        self.at.insert(slot, self.held.len());
+        self.held.push(Held { of, taken: now, over: false, tries: Vec::new() });
+    }
+
+    pub fn ended(&mut self, now: Ms, slot: usize, what: Outcome) {
+        let held = &mut self.held[self.at[&slot]];
+        held.tries.last_mut().unwrap().end = Some((now, what));
+        held.over |= matches!(what, Outcome::Settled(_));
+    }
+
+    /// Which rule an action breaks, if any; then takes note of it.
+    pub fn sees(&mut self, now: Ms, act: &Act) -> Result<(), String> {
+        match act {
+            Act::Forward(slot, engine) => self.forward(now, self.at[slot], *engine),
+            Act::TurnBack(slot, _) | Act::Scrap(slot) => {
+                let h = &self.held[self.at[slot]];
+                let ran: Vec<&Try> = h.tries.iter().filter(|t| t.may_have_run()).collect();
+                let ok = match self.m.bands[h.of.band].repeat {
+                    Repeat::Repeatable | Repeat::Tagged(Within::All) => true,
+                    _ => ran.is_empty(),
+                };
+                if h.over {
+                    return Err("1: two final answers".into());
+                }
+                if now > h.taken + h.of.left {
+                    return Err("1: answer after the hard limit".into());
+                }
+                if matches!(act, Act::TurnBack(..)) && !ok {
+                    return Err("2: turned back though it may have run".into());
+                }
+                let i = self.at[slot];
+                self.held[i].over = true;
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn forward(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
+        let (h, line) = (&self.held[i], self.roster[&engine]);
+        let terms = &self.m.bands[h.of.band];
+        if h.over || now > h.taken + h.of.left {
+            return Err("1: sent after the end".into());
+        }
+        if h.tries.iter().any(|t| t.end.is_none()) {
+            return Err("2: two forwards out".into());
+        }
+        for ran in h.tries.iter().filter(|t| t.may_have_run()) {
+            let other = self.roster[&ran.engine];
+            let same = match terms.repeat {
+                Repeat::Repeatable => continue,
+                Repeat::OnceOnly => return Err("2: once-only again".into()),
+                Repeat::Tagged(Within::All) => true,
+                Repeat::Tagged(Within::Zone) => other.zone == line.zone,
+                Repeat::Tagged(Within::Cell) => other.cell == line.cell,
+            };
+            if !same || now > ran.sent + terms.window {
+                return Err("2: tagged outside its group or window".into());
+            }
+        }
+        if self.off_since.get(&engine).is_some_and(|t| now > *t) {
+            return Err("3: sent to a draining or gone engine".into());
+        }
+        let tries = || self.held.iter().flat_map(|h| h.tries.iter().map(move |t| (h, t)));
+        let usual = |h: &Held| h.of.work.unwrap_or(0.0);
+        if line.since > 0.0 && now < line.since + self.m.warm_after {
+            let recent = tries().filter(|(_, t)| t.engine == engine && t.sent >= now - self.m.fall_span);
+            let sent = recent.map(|(h, _)| usual(h)).sum::<f64>() + usual(h);
+            let cores = self.m.kinds[line.kind as usize].cores;
+            let all = self.m.fall_multiple * self.m.cold_from * cores * self.m.fall_span;
+            if sent > all / self.m.gateways {
+                return Err("4: more than a cold engine's share".into());
+            }
+        }
+        if terms.in_order && h.of.key != 0 {
+            let same = |o: &&Held| self.m.bands[o.of.band].in_order && o.of.key == h.of.key;
+            for o in self.held[..i].iter().filter(same) {
+                let doubt = |t: &Try| match t.end {
+                    None => true,
+                    Some((at, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn)) => {
+                        now < at + self.m.key_rest
+                    }
+                    _ => false,
+                };
+                if !o.over || o.tries.iter().any(doubt) {
+                    return Err("5: out of order".into());
+                }
+            }
+        }
+        let zone = terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone));
+        if !zone || terms.kinds.as_ref().is_some_and(|k| !k.contains(&line.kind)) {
+            return Err("6: outside its placement".into());
+        }
+        if let (Some(r), false) = (self.m.ration, h.tries.is_empty()) {
+            let counts = |t: &Try| t.end.is_none_or(|e| e.1 != Outcome::Unsent) && t.sent >= now - r.span;
+            let further = self.held.iter().flat_map(|h| h.tries.iter().skip(1)).filter(|t| counts(t)).count();
+            let taken = self.held.iter().filter(|h| h.taken > now - r.span).count();
+            if further as f64 + 1.0 > r.spare + r.share * taken as f64 {
+                return Err("7: over the budget".into());
+            }
+        }
+        self.held[i].tries.push(Try { engine, sent: now, end: None });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,147 @@
+//! The design's own moves, each alone.
+
+mod common;
+
+use common::*;
+use ironstair::logic::Gateway;
+use ironstair::*;
+
+fn start(m: Mandate, engines: usize) -> Gateway {
+    let mut g = Gateway::new(m, 1);
+    g.roster(0.0, true, &(0..engines).map(line).collect::<Vec<_>>(), &mut Sheet::default());
+    g
+}
+
+fn two_bands() -> Mandate {
+    mandate(vec![band(1.0, 1.0, Repeat::Repeatable), band(6.0, 4.0, Repeat::Repeatable)])
+}
+
+/// Settles quickly at first, then slowly, so that the only engines are under pressure at the time returned.
+fn press(g: &mut Gateway, slots: std::ops::Range<usize>) -> Ms {
+    let mut now = 1.0;
+    for took in [100.0, 100.0, 100.0, 400.0, 400.0] {
+        for i in slots.clone() {
+            g.take(now, i, ask(0, 100.0), &mut Sheet::default());
+        }
+        now += took;
+        for i in slots.clone() {
+            g.outcome(now, i, Outcome::Settled(None), true, &mut Sheet::default());
+        }
+        now += 1.0;
+    }
+    now
+}
+
+fn send(g: &mut Gateway, now: Ms, slot: usize, of: Submission) -> Vec<(usize, usize)> {
+    let mut sheet = Sheet::default();
+    g.take(now, slot, of, &mut sheet);
+    sheet.forwards()
+}
+
+#[test]
+fn bound_binds_only_under_pressure() {
+    let mut g = start(two_bands(), 1);
+    let sent: usize = (0..20).map(|i| send(&mut g, 1.0, i, ask(0, 100.0)).len()).sum();
+    assert_eq!(sent, 20, "no pressure: more than 8 cores x 2 / 2 gateways");
+    let mut g = start(two_bands(), 1);
+    let now = press(&mut g, 0..8);
+    let sent: usize = (0..20).map(|i| send(&mut g, now, i, ask(0, 100.0)).len()).sum();
+    assert_eq!(sent, 8, "under pressure: the bound");
+}
+
+#[test]
+fn under_pressure_other_ready_engines_come_first_and_one_may_always_run() {
+    let mut g = start(two_bands(), 1);
+    let now = press(&mut g, 0..8);
+    let wide = Submission { left: 20_000.0, ..ask(1, 4000.0) };
+    assert_eq!(send(&mut g, now, 10, wide).len(), 1, "none of its own runs there");
+    assert_eq!(send(&mut g, now, 11, wide).len(), 1, "4 + 4 threads are within 8");
+    assert_eq!(send(&mut g, now, 12, wide).len(), 0, "the bound holds");
+    g.roster(now, false, &[line(1)], &mut Sheet::default());
+    assert_eq!(send(&mut g, now, 13, wide).first().map(|s| s.1), Some(1), "another engine is ready");
+}
+
+#[test]
+fn least_charged_work_over_weight_goes_first_and_the_next_band_that_fits_after() {
+    let mut g = start(two_bands(), 1);
+    let now = press(&mut g, 0..8);
+    for i in 10..17 {
+        assert_eq!(send(&mut g, now, i, ask(0, 100.0)).len(), 1);
+    }
+    let wide = Submission { left: 20_000.0, ..ask(1, 4000.0) };
+    assert_eq!(send(&mut g, now, 20, wide).len(), 0, "7 + 4 threads do not fit");
+    assert_eq!(send(&mut g, now, 21, ask(0, 100.0)), [(21, 0)], "one thread of the other band does");
+    let mut sheet = Sheet::default();
+    g.outcome(now + 10.0, 10, Outcome::Settled(None), true, &mut sheet);
+    assert_eq!(sheet.forwards(), [], "one thread is too few for the band that waits");
+}
+
+#[test]
+fn idle_time_is_not_banked() {
+    let mut m = two_bands();
+    m.bands = vec![band(1.0, 1.0, Repeat::Repeatable), band(1.0, 1.0, Repeat::Repeatable)];
+    let mut g = start(m, 1);
+    let now = press(&mut g, 0..8);
+    for i in 10..26 {
+        send(&mut g, now, i, ask(i % 2, 100.0));
+    }
+    let (mut first, mut sheet) = ([0, 0], Sheet::default());
+    for i in 10..18 {
+        g.outcome(now + 200.0, i, Outcome::Settled(None), true, &mut sheet);
+    }
+    for (slot, _) in sheet.forwards() {
+        first[slot % 2] += 1;
+    }
+    // Band 0 ran alone before, band 1 was idle: were that banked, band 1 would get every place.
+    assert!(first[0] >= 3 && first[1] >= 3, "{first:?}");
+}
+
+#[test]
+fn every_gateway_hashes_the_same_order_whatever_its_indices() {
+    let homes = |lines: Vec<Listed>, tables| {
+        let mut g = Gateway::new(two_bands(), 5);
+        g.roster(0.0, true, &lines, &mut Sheet::default());
+        let sent = send(&mut g, 1.0, 0, Submission { tables, ..ask(0, 100.0) });
+        lines.iter().find(|l| l.engine == sent[0].1).map(|l| l.id)
+    };
+    for tables in 0..20 {
+        let here: Vec<Listed> = (0..6).map(line).collect();
+        let there: Vec<Listed> = (0..6).map(|i| Listed { engine: i, ..line(5 - i) }).collect();
+        assert_eq!(homes(here, tables), homes(there, tables));
+    }
+}
+
+#[test]
+fn turned_back_at_once_when_hopeless_and_with_advice() {
+    let mut m = two_bands();
+    m.come_back_most = 700.0;
+    let mut g = Gateway::new(m, 1);
+    let mut sheet = Sheet::default();
+    g.take(0.0, 0, ask(0, 100.0), &mut sheet);
+    g.due(650.0, &mut sheet);
+    assert!(sheet.0.contains(&Act::TurnBack(0, 700.0)), "{:?}", sheet.0);
+}
+
+#[test]
+fn failing_engine_is_set_aside_and_comes_back_by_a_trickle() {
+    let mut g = start(two_bands(), 3);
+    let (mut now, mut notes, mut to_bad) = (1.0, Vec::new(), 0);
+    for i in 0..400 {
+        let mut sheet = Sheet::default();
+        g.take(now, 0, Submission { tables: i % 9, ..ask(0, 100.0) }, &mut sheet);
+        while let Some((slot, engine)) = sheet.forwards().last().copied() {
+            notes.extend(std::mem::take(&mut sheet.0).into_iter().filter(|a| matches!(a, Act::Note(_))));
+            let bad = engine == 1 && i < 200;
+            to_bad += bad as u32;
+            now += 10.0;
+            let what = if bad { Outcome::Error } else { Outcome::Settled(None) };
+            g.outcome(now, slot, what, !bad, &mut sheet);
+        }
+        now += 40.0;
+    }
+    assert!(notes.iter().any(|n| format!("{n:?}").contains("set aside")), "{notes:?}");
+    assert!(to_bad < 20, "{to_bad} went to the failing engine");
+    let sent = (0..30)
+        .filter(|&t| send(&mut g, now, 1 + t, Submission { tables: t as u64, ..ask(0, 100.0) })[0].1 == 1);
+    assert!(sent.count() > 3, "the engine is back");
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,158 @@
+//! The module against the referee on generated events, and the referee against a decider that cheats.
+
+mod common;
+
+use common::*;
+use ironstair::logic::Gateway;
+use ironstair::*;
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Settled(Some(60.0)),
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::Withdrawn,
+    Outcome::Unsent,
+];
+
+struct Play {
+    now: Ms,
+    gateway: Gateway,
+    referee: Referee,
+    out: Vec<usize>,
+    free: Vec<usize>,
+    next: usize,
+}
+
+impl Play {
+    fn new(m: Mandate) -> Self {
+        let gateway = Gateway::new(m.clone(), 7);
+        let mut play =
+            Play { now: 1000.0, gateway, referee: Referee::new(m), out: vec![], free: vec![], next: 0 };
+        let lines: Vec<Listed> = (0..6).map(line).collect();
+        play.roster(&lines).expect("a roster asks for nothing");
+        play
+    }
+
+    fn roster(&mut self, lines: &[Listed]) -> Result<(), String> {
+        let mut sheet = Sheet::default();
+        self.referee.told(self.now, lines);
+        self.gateway.roster(self.now, false, lines, &mut sheet);
+        self.check(sheet)
+    }
+
+    fn check(&mut self, sheet: Sheet) -> Result<(), String> {
+        for act in &sheet.0 {
+            self.referee.sees(self.now, act)?;
+            match act {
+                Act::Forward(s, _) => self.out.push(*s),
+                Act::Forget(s) => self.free.push(*s),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, (what, a, b): (u8, u8, u8)) -> Result<(), String> {
+        let mut sheet = Sheet::default();
+        match what % 8 {
+            0..=2 => {
+                let slot = self.free.pop().unwrap_or_else(|| {
+                    self.next += 1;
+                    self.next - 1
+                });
+                let band = a as usize % self.referee.m.bands.len();
+                let key = (b % 4) as u64;
+                let left = 400.0 + 10.0 * b as f64;
+                let of = Submission { key, left, tables: b as u64 / 8, ..ask(band, 100.0) };
+                self.referee.took(self.now, slot, of);
+                self.gateway.take(self.now, slot, of, &mut sheet);
+            }
+            3..=5 if !self.out.is_empty() => {
+                let slot = self.out.remove(a as usize % self.out.len());
+                let what = OUTCOMES[b as usize % OUTCOMES.len()];
+                self.referee.ended(self.now, slot, what);
+                let over = self.referee.held[self.referee.at[&slot]].over;
+                self.gateway.outcome(self.now, slot, what, over, &mut sheet);
+            }
+            6 => {
+                let mut l = line(a as usize % 6);
+                l.standing = [Standing::Ready, Standing::Draining, Standing::Gone][b as usize % 3];
+                l.since = if b >= 128 { self.now } else { 0.0 };
+                return self.roster(&[l]);
+            }
+            _ => {
+                // The host wakes the module as it asked, however long the pause.
+                for _ in 0..a % 64 {
+                    self.now += 10.0;
+                    let mut sheet = Sheet::default();
+                    self.gateway.due(self.now, &mut sheet);
+                    self.check(sheet)?;
+                }
+            }
+        }
+        self.check(sheet)
+    }
+
+    fn finish(&mut self) -> Result<(), String> {
+        for _ in 0..7 {
+            self.step((7, 63, 0))?;
+        }
+        let lost = self.referee.held.iter().filter(|h| !h.over).count();
+        (lost == 0).then_some(()).ok_or(format!("1: {lost} without an answer"))
+    }
+}
+
+fn keeps_the_rules(steps: Vec<(u8, u8, u8)>) -> TestResult {
+    let mut play = Play::new(motley());
+    let kept = steps.into_iter().try_for_each(|s| play.step(s)).and_then(|()| play.finish());
+    kept.map_or_else(TestResult::error, |()| TestResult::passed())
+}
+
+#[test]
+fn module_and_referee_agree_on_generated_events() {
+    let gen = Gen::from_size_and_seed(400, 11);
+    let check = keeps_the_rules as fn(Vec<(u8, u8, u8)>) -> TestResult;
+    QuickCheck::new().rng(gen).tests(200).quickcheck(check);
+}
+
+#[test]
+fn referee_catches_a_decider_that_breaks_each_rule() {
+    let fwd = |engine| Act::Forward(0, engine);
+    type Script<'a> = &'a [(u8, Act)];
+    let cases: [(&str, Script); 7] = [
+        ("1", &[(0, Act::Scrap(0)), (0, Act::Scrap(0))]),
+        ("2", &[(1, Act::Forward(0, 0)), (3, Act::Forward(0, 2))]),
+        ("3", &[(0, Act::Wake(1.0)), (6, Act::Forward(0, 0))]),
+        ("4", &[(9, Act::Forward(0, 0))]),
+        ("5", &[(0, Act::Wake(1.0)), (0, Act::Forward(1, 0))]),
+        ("6", &[(1, Act::Forward(0, 1))]),
+        ("7", &[(0, Act::Forward(0, 0)), (3, fwd(1)), (3, fwd(2)), (3, fwd(4)), (3, fwd(5))]),
+    ];
+    for (rule, acts) in cases {
+        let mut referee = Referee::new(motley());
+        referee.told(0.0, &(0..6).map(line).collect::<Vec<_>>());
+        let mut broken = Ok(());
+        for (i, (event, act)) in acts.iter().enumerate() {
+            let now = 1.0 + i as f64;
+            match event {
+                3 => referee.ended(now, 0, Outcome::Error),
+                6 => referee.told(now - 0.5, &[Listed { standing: Standing::Draining, ..line(0) }]),
+                9 => {
+                    referee.told(now, &[Listed { since: 0.5, ..line(0) }]);
+                    referee.took(now, 0, ask(0, 1e6));
+                }
+                band if i == 0 || rule == "5" => {
+                    referee.took(now, i, Submission { key: 1, ..ask(*band as usize, 100.0) })
+                }
+                _ => {}
+            }
+            broken = broken.and(referee.sees(now, act));
+        }
+        let told = broken.expect_err(rule);
+        assert!(told.starts_with(rule), "rule {rule}: {told}");
+    }
+}
