Pressure at 1.2 and a wider bound: measured values

Cause: pressure seen late lets in too much, and an even share is too little for a gateway with more than its share of traffic. One gateway alone wants about 3, many want more: the factor should adapt.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,11 +12,11 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Threads a core that all gateways together may keep busy on an engine under pressure, to start with.
-const FACTOR: f64 = 2.0;
+const FACTOR: f64 = 5.0;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
-const PRESSED: f64 = 1.5;
+const PRESSED: f64 = 1.2;
 /// Half-life of measured paces: long against one submission, short against a trouble.
 const HALF: Ms = 1000.0;
 /// Half-life of means that describe a band's work: these hardly change within a day.
