--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,12 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Threads a core that all gateways together may keep busy on an engine under pressure, to start with.
-const FACTOR: f64 = 5.0;
+const FACTOR: f64 = 2.0;
+/// The factor falls while the stretch is above this, else it grows, so that a gateway with more than
+/// its even share of traffic gets what the others leave.
+const STRETCHED: f64 = 2.5;
+const GROWS: f64 = 0.5;
+const FALLS: f64 = 0.2;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
@@ -89,6 +94,7 @@
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
+    factor: f64,
     full_until: Ms,
     full_rest: Ms,
     /// When set aside: when the next of the trickle may go, and the gap between them.
@@ -172,6 +178,7 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
+    settled: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
     note_after: Ms,
@@ -213,6 +220,7 @@
             let e = &mut self.engines[line.engine];
             // A new start leaves nothing of the old process worth judging it by.
             if e.pace.is_empty() || e.listed.since != line.since {
+                e.factor = FACTOR;
                 e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
                 e.pace = vec![Fade::default(); self.m.bands.len()];
                 (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
@@ -358,9 +366,14 @@
     }
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
-        self.now = now;
-        for e in &mut self.engines {
+        let passed = (now - self.settled).min(1000.0) / 1000.0;
+        (self.now, self.settled) = (now, now);
+        for i in 0..self.engines.len() {
+            let stretched = self.stretch(i) > STRETCHED;
+            let e = &mut self.engines[i];
             e.ghosts.retain(|g| g.0 > now);
+            e.factor += passed * if stretched { -FALLS * e.factor } else { GROWS };
+            e.factor = e.factor.clamp(FACTOR, 2.0 * FACTOR * self.m.gateways);
         }
         self.learn_best();
         while RULES.iter().any(|rule| rule(self, out)) {}
@@ -606,7 +619,7 @@
 
     fn open(&self, engine: usize, threads: f64) -> bool {
         let e = &self.engines[engine];
-        let within = e.running == 0 || e.busy() + threads <= e.cores * FACTOR / self.m.gateways;
+        let within = e.running == 0 || e.busy() + threads <= e.cores * e.factor / self.m.gateways;
         self.now > e.full_until && (within || self.stretch(engine) <= PRESSED)
     }
 
