Bound asked before the submission's own threads, factor 2.5

Cause: an even share of an engine can be smaller than one four-thread query; rounding down left busy gateways a query short. It should also cover any mix of widths; harm: with very many gateways each may pass its share by one query.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,13 +11,9 @@
 use crate::{Listed, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Within, Word};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Threads a core that all gateways together may keep busy on an engine under pressure, to start with.
-const FACTOR: f64 = 2.0;
-/// The factor falls while the stretch is above this, else it grows, so that a gateway with more than
-/// its even share of traffic gets what the others leave.
-const STRETCHED: f64 = 2.5;
-const GROWS: f64 = 0.5;
-const FALLS: f64 = 0.2;
+/// Threads a core that all gateways together may keep busy on an engine under pressure. Half over the
+/// design's start, since not all gateways are busy at once; fewer starve the busy, more only thrash.
+const FACTOR: f64 = 2.5;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
@@ -94,7 +90,6 @@
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
-    factor: f64,
     full_until: Ms,
     full_rest: Ms,
     /// When set aside: when the next of the trickle may go, and the gap between them.
@@ -160,11 +155,8 @@
     longest_left: Ms,
 }
 
-#[derive(Default)]
-struct KeyLine {
-    order: VecDeque<usize>,
-    rest: Ms,
-}
+/// Who waits for a key, in order, and until when it rests.
+type KeyLine = (VecDeque<usize>, Ms);
 
 #[derive(Default)]
 pub struct Gateway {
@@ -178,7 +170,6 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
-    settled: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
     note_after: Ms,
@@ -220,7 +211,6 @@
             let e = &mut self.engines[line.engine];
             // A new start leaves nothing of the old process worth judging it by.
             if e.pace.is_empty() || e.listed.since != line.since {
-                e.factor = FACTOR;
                 e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
                 e.pace = vec![Fade::default(); self.m.bands.len()];
                 (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
@@ -266,7 +256,7 @@
         }
         self.subs[sub] = Taken { of, work, open: true, aim, limit, ..Default::default() };
         if self.keyed(sub) {
-            self.keys.entry(of.key).or_default().order.push_back(sub);
+            self.keys.entry(of.key).or_default().0.push_back(sub);
         }
         self.taken_at.push_back(now);
         self.settle(now, out);
@@ -293,8 +283,7 @@
             self.further.iter().rposition(|&t| t == fwd.sent).map(|i| self.further.remove(i));
         }
         if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn) && keyed {
-            let line = self.keys.entry(s.of.key).or_default();
-            line.rest = line.rest.max(now + self.m.key_rest);
+            self.keys.entry(s.of.key).or_default().1 = now + self.m.key_rest;
         }
         if let Outcome::Settled(Some(work)) = what {
             match s.of.work {
@@ -336,22 +325,15 @@
         self.settle(now, out);
     }
 
-    /// Word of a forward that is out: `value` is the share done, the memory missing or the cause of waiting.
+    /// Word of a forward that is out; with `Progress`, the share done.
     pub fn progress(&mut self, now: Ms, sub: usize, word: Word, value: f64, out: &mut dyn Outlet) {
         let s = &mut self.subs[sub];
         let (b, work) = (s.of.band, s.work);
-        if let Some(f) = s.out.as_mut() {
-            let e = &mut self.engines[f.engine];
+        if let Some(f) = s.out.as_mut().filter(|_| word == Word::Progress) {
             let done = value.clamp(f.counted.1, 1.0);
-            match word {
-                Word::Progress => {
-                    let spent = (now - f.counted.0) * self.m.bands[b].threads;
-                    e.pace[b].add(now, HALF, spent, (done - f.counted.1) * work);
-                    f.counted = (now, done);
-                }
-                // Short of memory: full, for what needs any.
-                Word::Spills | Word::Waits => e.full_until = e.full_until.max(now),
-            }
+            let spent = (now - f.counted.0) * self.m.bands[b].threads;
+            self.engines[f.engine].pace[b].add(now, HALF, spent, (done - f.counted.1) * work);
+            f.counted = (now, done);
         }
         self.settle(now, out);
     }
@@ -366,14 +348,9 @@
     }
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
-        let passed = (now - self.settled).min(1000.0) / 1000.0;
-        (self.now, self.settled) = (now, now);
-        for i in 0..self.engines.len() {
-            let stretched = self.stretch(i) > STRETCHED;
-            let e = &mut self.engines[i];
+        self.now = now;
+        for e in &mut self.engines {
             e.ghosts.retain(|g| g.0 > now);
-            e.factor += passed * if stretched { -FALLS * e.factor } else { GROWS };
-            e.factor = e.factor.clamp(FACTOR, 2.0 * FACTOR * self.m.gateways);
         }
         self.learn_best();
         while RULES.iter().any(|rule| rule(self, out)) {}
@@ -382,11 +359,7 @@
     // The rules, in order.
 
     fn ask_for_the_roster(&mut self, out: &mut dyn Outlet) -> bool {
-        let due = self.subscribe_at.take_if(|t| *t <= self.now).is_some();
-        if due {
-            out.subscribe();
-        }
-        due
+        self.subscribe_at.take_if(|t| *t <= self.now).map(|_| out.subscribe()).is_some()
     }
 
     // Against a last outcome that never comes, and answers that cross the client's leaving.
@@ -452,10 +425,7 @@
                 && self.m.bands[s.of.band].repeat == Repeat::Repeatable
         };
         let found = self.flying.iter().filter(|_| self.m.may_withdraw).find(stuck).copied();
-        if let Some(sub) = found {
-            self.recall(sub, out);
-        }
-        found.is_some()
+        found.map(|sub| self.recall(sub, out)).is_some()
     }
 
     // Lowest charged work over weight first; if its submission fits nowhere, the next band's.
@@ -537,7 +507,7 @@
     fn may_go(&self, sub: usize) -> bool {
         let s = &self.subs[sub];
         // Order per key, and rest after an outcome that leaves an engine perhaps still at it.
-        let turn = |k: &KeyLine| k.order.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.rest);
+        let turn = |k: &KeyLine| k.0.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.1);
         (s.forwards == 0 || self.rationed() && self.may_forward_again(s))
             && (!self.keyed(sub) || self.keys.get(&s.of.key).is_none_or(turn))
     }
@@ -577,11 +547,8 @@
                 weight += w;
             }
         }
-        if weight > 0.0 {
-            (sum / weight).max(1.0)
-        } else {
-            1.0
-        }
+        // Without a measure the sum is no number, and `max` drops it.
+        (sum / weight).max(1.0)
     }
 
     fn learn_best(&mut self) {
@@ -617,9 +584,11 @@
         (2.0 * cores * within / usual / self.m.gateways).max(4.0) as usize
     }
 
-    fn open(&self, engine: usize, threads: f64) -> bool {
+    // The bound is asked before the submission's own threads: an even share may be smaller than one wide
+    // query, and would be lost to it for good.
+    fn open(&self, engine: usize) -> bool {
         let e = &self.engines[engine];
-        let within = e.running == 0 || e.busy() + threads <= e.cores * e.factor / self.m.gateways;
+        let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways;
         self.now > e.full_until && (within || self.stretch(engine) <= PRESSED)
     }
 
@@ -651,7 +620,6 @@
     /// threads a core, slower cores counting for less; then the others in order.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
-        let threads = self.m.bands[s.of.band].threads;
         let rank = |i: usize| mix(mix(s.of.tables) ^ self.engines[i].listed.id);
         let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
         let mut order: Vec<usize> = able.collect();
@@ -669,9 +637,9 @@
         order.retain(|&i| last(i) == best || best == 3);
         let load = |i: usize| self.engines[i].busy() / self.engines[i].cores * self.stretch(i);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
-        let home = homes.iter().copied().filter(|&i| self.open(i, threads));
+        let home = homes.iter().copied().filter(|&i| self.open(i));
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
-            .or_else(|| rest.iter().copied().find(|&i| self.open(i, threads)))
+            .or_else(|| rest.iter().copied().find(|&i| self.open(i)))
     }
 
     // What the rules do.
@@ -749,10 +717,8 @@
             return self.recall(sub, out);
         }
         if self.keyed(sub) {
-            if let Some(k) = self.keys.get_mut(&self.subs[sub].of.key) {
-                k.order.retain(|&i| i != sub);
-            }
-            self.keys.retain(|_, k| !k.order.is_empty() || k.rest > self.now);
+            self.keys.entry(self.subs[sub].of.key).or_default().0.retain(|&i| i != sub);
+            self.keys.retain(|_, k| !k.0.is_empty() || k.1 > self.now);
         }
         out.forget(sub);
     }
