--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,8 @@
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
 const PRESSED: f64 = 1.2;
+/// From this stretch on the bound is the even share; from `PRESSED` up to it, it narrows to that.
+const STRAINED: f64 = 1.6;
 /// Half-life of measured paces: long against one submission, short against a trouble.
 const HALF: Ms = 1000.0;
 /// Half-life of means that describe a band's work: these hardly change within a day.
@@ -246,10 +248,12 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        // A client's later try has less time left, and has spent as much of its expected time.
-        band.longest_left = band.longest_left.max(of.left);
         let within = terms.expected + terms.expected_stretch * work / terms.threads;
-        let (aim, limit) = (now + within - (band.longest_left - of.left), now + of.left);
+        // A later try has spent as much of its expected time as it lacks of the longest time left seen.
+        // Against clients that merely have less patience: only where the try is marked as a later one.
+        band.longest_left = band.longest_left.max(of.left);
+        let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
+        let (aim, limit) = (now + within - spent, now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
@@ -391,11 +395,11 @@
 
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than
     // its peers by its last outcomes. When all worsen together, setting aside would only move the
-    // load, so the fleet's own share of failures counts and no more than a third may be aside.
+    // load, so the fleet's own share of failures counts and no more than half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
-        if (aside + 1) * 3 > n.max(3) || n < 2 {
+        if (aside + 1) * 2 > n {
             return false;
         }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
@@ -588,7 +592,9 @@
     // query, and would be lost to it for good.
     fn open(&self, engine: usize) -> bool {
         let e = &self.engines[engine];
-        let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways;
+        // Mild pressure leaves more than the even share, since not all gateways are busy at once.
+        let strain = ((self.stretch(engine) - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
+        let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         self.now > e.full_until && (within || self.stretch(engine) <= PRESSED)
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -147,3 +147,37 @@
         .filter(|&t| send(&mut g, now, 1 + t, Submission { tables: t as u64, ..ask(0, 100.0) })[0].1 == 1);
     assert!(sent.count() > 3, "the engine is back");
 }
+
+#[test]
+fn less_patience_is_no_earlier_try() {
+    let mut g = start(two_bands(), 1);
+    let mut now = press(&mut g, 0..8);
+    for i in 10..20 {
+        send(&mut g, now, i, ask(0, 100.0));
+    }
+    let short = Submission { left: 1000.0, ..ask(0, 100.0) };
+    let mut sheet = Sheet::default();
+    g.take(now, 20, short, &mut sheet);
+    now += 5.0;
+    g.take(now, 21, Submission { later_try: true, ..short }, &mut sheet);
+    assert!(!sheet.0.contains(&Act::TurnBack(20, 0.0)), "a first try with little time waits");
+    assert!(sheet.0.contains(&Act::TurnBack(21, 0.0)), "a later try has had its expected time");
+}
+
+#[test]
+fn half_the_engines_out_of_reach_are_all_set_aside() {
+    let mut g = start(two_bands(), 4);
+    let (mut now, mut late) = (1.0, 0);
+    for i in 0..200 {
+        let mut sheet = Sheet::default();
+        g.take(now, 0, Submission { tables: i % 9, ..ask(0, 100.0) }, &mut sheet);
+        while let Some((slot, engine)) = std::mem::take(&mut sheet).forwards().last().copied() {
+            let cut = engine % 2 == 0;
+            late += (cut && i >= 100) as u32;
+            now += if cut { 250.0 } else { 100.0 };
+            let what = if cut { Outcome::NoConnection } else { Outcome::Settled(None) };
+            g.outcome(now, slot, what, !cut, &mut sheet);
+        }
+    }
+    assert!(late < 15, "{late} of 100 met an engine out of reach");
+}
