Nothing to an engine where it would miss its expected time; paces remembered for two seconds

Covers any engine that is slower than its peers for one band; harm: late answers that would still earn a part are given up under pressure.

--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -64,6 +64,7 @@
 
 struct Instance {
     gateway: Gateway,
+    bands: usize,
     engines: Door<Address>,
     submissions: Door<u64>,
 }
@@ -173,9 +174,10 @@
             let text = f.take(n, "start message")?;
             match mandate::read(text) {
                 Ok(m) => {
+                    let bands = m.bands.len();
                     let gateway = Gateway::new(m, seed);
                     let (engines, submissions) = (Door::default(), Door::default());
-                    self.instances.insert(who, Instance { gateway, engines, submissions });
+                    self.instances.insert(who, Instance { gateway, bands, engines, submissions });
                 }
                 Err(e) => {
                     let (mut submissions, engines) = (Door::default(), Door::default());
@@ -192,7 +194,7 @@
             return Ok(());
         }
         let inst = self.instances.get_mut(&who);
-        let Some(Instance { gateway, engines, submissions }) = inst else {
+        let Some(Instance { gateway, bands, engines, submissions }) = inst else {
             return Err(format!("code {code} for instance {who}, which was not started"));
         };
         macro_rules! pen {
@@ -233,7 +235,7 @@
                 let flags = f.u8("flags")?;
                 let tables = u32::from_le_bytes(tables) as u64;
                 let work = (flags & 1 != 0 && work > 0.0).then_some(work);
-                if band >= gateway.bands() {
+                if band >= *bands {
                     return Err(format!("class {band} is not among those of the start message"));
                 }
                 let later_try = flags & 2 != 0;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,8 +20,8 @@
 const PRESSED: f64 = 1.2;
 /// From this stretch on the bound is the even share; from `PRESSED` up to it, it narrows to that.
 const STRAINED: f64 = 1.6;
-/// Half-life of measured paces: long against one submission, short against a trouble.
-const HALF: Ms = 1000.0;
+/// Half-life of measured paces: long enough to remember a jam between looks, short against a trouble.
+const HALF: Ms = 2000.0;
 /// Half-life of means that describe a band's work: these hardly change within a day.
 const LONG_HALF: Ms = 20_000.0;
 /// Outcomes by which an engine is judged, and how many of them may fail.
@@ -192,16 +192,11 @@
 
 impl Gateway {
     pub fn new(m: Mandate, seed: u64) -> Self {
-        let bands = m.bands.iter().map(|_| Band::default()).collect();
+        let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
         let subscribe_at = m.must_subscribe.then_some(0.0);
         Gateway { m, chance: Pcg(seed), bands, subscribe_at, ..Default::default() }
     }
 
-    /// How many bands there are: a host turns away what names another.
-    pub fn bands(&self) -> usize {
-        self.m.bands.len()
-    }
-
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
         if full {
             self.engines.iter_mut().for_each(|e| e.listed.standing = Standing::Gone);
@@ -237,12 +232,10 @@
         let active = |b: usize| !self.bands[b].line.is_empty() || self.bands[b].threads > 0.5;
         let others = (0..self.bands.len()).filter(|&b| active(b)).map(|b| self.charge(b));
         let level = others.fold(f64::INFINITY, f64::min);
-        let back = !active(of.band) && level.is_finite();
-        let terms = &self.m.bands[of.band];
-        let band = &mut self.bands[of.band];
-        if back {
-            band.charged = band.charged.max(level);
+        if !active(of.band) && level.is_finite() {
+            self.bands[of.band].charged = level.max(self.bands[of.band].charged);
         }
+        let (terms, band) = (&self.m.bands[of.band], &mut self.bands[of.band]);
         let guess = of.work.map(|h| h * band.bias.mean().unwrap_or(1.0));
         if let Some(work) = guess {
             band.work.add(now, LONG_HALF, work, 1.0);
@@ -544,7 +537,7 @@
     fn stretch(&self, engine: usize) -> f64 {
         let e = &self.engines[engine];
         let (mut sum, mut weight) = (0.0, 0.0);
-        for (b, band) in self.bands.iter().enumerate().filter(|b| b.1.best > 0.0) {
+        for (b, band) in self.bands.iter().enumerate().filter(|b| b.1.best.is_finite()) {
             if let Some(pace) = self.pace(e, b, 0.5) {
                 let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b);
                 sum += w * pace / band.best;
@@ -558,11 +551,7 @@
     fn learn_best(&mut self) {
         for b in 0..self.bands.len() {
             let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 2.0));
-            let least = paces.fold(f64::INFINITY, f64::min);
-            let best = &mut self.bands[b].best;
-            if least.is_finite() && (*best == 0.0 || least < *best) {
-                *best = least;
-            }
+            self.bands[b].best = paces.fold(self.bands[b].best, f64::min);
         }
     }
 
@@ -571,8 +560,8 @@
         let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 0.5));
         let mut paces: Vec<f64> = paces.collect();
         paces.sort_by(f64::total_cmp);
-        let best = self.bands[b].best;
-        paces.get(paces.len() / 2).copied().unwrap_or(if best > 0.0 { best } else { 1.0 })
+        let known = paces.get(paces.len() / 2).copied().or(Some(self.bands[b].best));
+        known.filter(|p| p.is_finite()).unwrap_or(1.0)
     }
 
     /// How long a submission would take now at the usual pace.
@@ -590,12 +579,16 @@
 
     // The bound is asked before the submission's own threads: an even share may be smaller than one wide
     // query, and would be lost to it for good.
-    fn open(&self, engine: usize) -> bool {
-        let e = &self.engines[engine];
+    fn open(&self, engine: usize, s: &Taken) -> bool {
+        let (e, b) = (&self.engines[engine], s.of.band);
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let strain = ((self.stretch(engine) - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
-        self.now > e.full_until && (within || self.stretch(engine) <= PRESSED)
+        // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
+        // of them late. Under pressure nothing goes where it would miss its expected time.
+        let pace = self.pace(e, b, 0.5).unwrap_or(self.usual_pace(b));
+        let in_time = self.now + s.work / self.m.bands[b].threads * pace <= s.aim;
+        self.now > e.full_until && (within && in_time || self.stretch(engine) <= PRESSED)
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
@@ -643,9 +636,9 @@
         order.retain(|&i| last(i) == best || best == 3);
         let load = |i: usize| self.engines[i].busy() / self.engines[i].cores * self.stretch(i);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
-        let home = homes.iter().copied().filter(|&i| self.open(i));
+        let home = homes.iter().copied().filter(|&i| self.open(i, s));
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
-            .or_else(|| rest.iter().copied().find(|&i| self.open(i)))
+            .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
     // What the rules do.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,33 +30,23 @@
     }
 }
 
+macro_rules! takes_down {
+    ($($f:ident($($a:ident: $t:ty),*) $act:expr;)*) => {
+        $(fn $f(&mut self, $($a: $t),*) { self.0.push($act) })*
+    };
+}
+
 impl Outlet for Sheet {
-    fn forward(&mut self, submission: usize, engine: usize) {
-        self.0.push(Act::Forward(submission, engine));
-    }
-    fn withdraw(&mut self, submission: usize, nth: u8) {
-        self.0.push(Act::Withdraw(submission, nth));
-    }
-    fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64) {
-        self.0.push(Act::Terms(submission, priority, grant_mb));
-    }
-    fn turn_back(&mut self, submission: usize, come_back: Ms) {
-        self.0.push(Act::TurnBack(submission, come_back));
-    }
-    fn scrap(&mut self, submission: usize) {
-        self.0.push(Act::Scrap(submission));
-    }
-    fn subscribe(&mut self) {
-        self.0.push(Act::Subscribe);
-    }
-    fn wake(&mut self, after: Ms) {
-        self.0.push(Act::Wake(after));
-    }
-    fn note(&mut self, text: &str) {
-        self.0.push(Act::Note(text.into()));
-    }
-    fn forget(&mut self, submission: usize) {
-        self.0.push(Act::Forget(submission));
+    takes_down! {
+        forward(submission: usize, engine: usize) Act::Forward(submission, engine);
+        withdraw(submission: usize, nth: u8) Act::Withdraw(submission, nth);
+        terms(submission: usize, priority: u8, grant_mb: f64) Act::Terms(submission, priority, grant_mb);
+        turn_back(submission: usize, come_back: Ms) Act::TurnBack(submission, come_back);
+        scrap(submission: usize) Act::Scrap(submission);
+        subscribe() Act::Subscribe;
+        wake(after: Ms) Act::Wake(after);
+        note(text: &str) Act::Note(text.into());
+        forget(submission: usize) Act::Forget(submission);
     }
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -181,3 +181,14 @@
     }
     assert!(late < 15, "{late} of 100 met an engine out of reach");
 }
+
+#[test]
+fn under_pressure_nothing_goes_where_it_would_miss_its_expected_time() {
+    let mut g = start(two_bands(), 1);
+    let now = press(&mut g, 0..8);
+    let late = Submission { left: 600.0, later_try: true, ..ask(0, 1000.0) };
+    let mut sheet = Sheet::default();
+    g.take(now, 10, late, &mut sheet);
+    assert_eq!(sheet.forwards(), [], "it would keep a jammed engine jammed");
+    assert!(sheet.0.contains(&Act::TurnBack(10, 0.0)), "given up at once");
+}
