--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,18 +26,18 @@
 const LONG_HALF: Ms = 20_000.0;
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
-const BAD: u32 = 3;
+const BAD: u32 = 5;
 /// This many times its peers' pace is a fault of the engine, not of its load.
 const SLOW: f64 = 2.5;
 /// A set-aside engine gets one small submission this often at first, and twice as often after each
 /// that went well, until it is back.
-const TRICKLE: Ms = 2000.0;
+const TRICKLE: Ms = 1000.0;
 const BACK: Ms = 200.0;
 /// After a full answer nothing goes there for this long, twice as long after each further one.
 const FULL_REST: Ms = 100.0;
 const FULL_MOST: Ms = 3000.0;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
-const COLD_SHARE: f64 = 0.7;
+const COLD_SHARE: f64 = 0.9;
 /// A guess of memory falls short now and then, and spilling costs more than a wider grant.
 const GRANT: f64 = 1.2;
 
@@ -594,7 +594,10 @@
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
     fn cold_room(&self, e: &Engine, b: usize) -> bool {
         let age = self.now - e.listed.since;
-        let capacity = 0.85 * e.cores * self.m.cold_from * self.m.fall_span;
+        // Half of an even ramp is counted on: how an engine warms up is not told.
+        let warm =
+            self.m.cold_from + (1.0 - self.m.cold_from) * (age / self.m.warm_after).clamp(0.0, 1.0) / 2.0;
+        let capacity = 0.85 * e.cores * warm * self.m.fall_span;
         let share = COLD_SHARE * self.m.fall_multiple * capacity / self.m.gateways;
         let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - self.m.fall_span);
         let sent = recent.map(|s| s.1).sum::<f64>() + self.usual_work(b);
