Best pace slowly forgotten; one pace that leans to the best where little is known

Cause: a lucky second, or a guess since corrected, meant pressure for good, and one heavy query looked like a jam. It also covers engines that change for good while a gateway runs; harm: a jam of several minutes passes for usual.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,8 +22,14 @@
 const STRAINED: f64 = 1.6;
 /// Half-life of measured paces: long enough to remember a jam between looks, short against a trouble.
 const HALF: Ms = 2000.0;
-/// Half-life of means that describe a band's work: these hardly change within a day.
+/// Half-life of means that describe a band's work, which hardly changes.
 const LONG_HALF: Ms = 20_000.0;
+/// Usual submissions of late from which on a pace can stand as the best.
+const ENOUGH: f64 = 2.0;
+/// Usual submissions at the best pace that stand beside what was measured.
+const LEAN: f64 = 0.3;
+/// The best pace is held for twice as long after this time.
+const FORGOTTEN: Ms = 300_000.0;
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 5;
@@ -172,6 +178,7 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
+    learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
     note_after: Ms,
@@ -267,8 +274,7 @@
         let s = &mut self.subs[sub];
         let (b, elapsed, threads) = (s.of.band, now - fwd.sent, self.m.bands[s.of.band].threads);
         let band = &mut self.bands[b];
-        band.threads -= threads;
-        band.started -= threads * fwd.sent;
+        (band.threads, band.started) = (band.threads - threads, band.started - threads * fwd.sent);
         band.charged += threads * elapsed / weight;
         s.tried.push(fwd.engine);
         if matches!(what, Outcome::Full | Outcome::NoConnection | Outcome::Unsent) {
@@ -293,8 +299,7 @@
         let expected = self.service(b, work) * self.stretch(fwd.engine);
         let usual = self.usual_pace(b) * work / threads;
         let e = &mut self.engines[fwd.engine];
-        e.threads -= threads;
-        e.running -= 1;
+        (e.threads, e.running) = (e.threads - threads, e.running - 1);
         match what {
             Outcome::Settled(_) => {
                 e.full_rest = 0.0;
@@ -314,10 +319,9 @@
             }
             _ => {}
         }
-        if closed || !open {
-            self.close(sub, out);
-        } else {
-            self.bands[b].line.push(sub);
+        match closed || !open {
+            true => self.close(sub, out),
+            false => self.bands[b].line.push(sub),
         }
         self.settle(now, out);
     }
@@ -327,7 +331,7 @@
         let s = &mut self.subs[sub];
         let (b, work) = (s.of.band, s.work);
         if let Some(f) = s.out.as_mut().filter(|_| word == Word::Progress) {
-            let done = value.clamp(f.counted.1, 1.0);
+            let done = value.max(f.counted.1).min(1.0);
             let spent = (now - f.counted.0) * self.m.bands[b].threads;
             self.engines[f.engine].pace[b].add(now, HALF, spent, (done - f.counted.1) * work);
             f.counted = (now, done);
@@ -527,10 +531,13 @@
         further + 1.0 <= r.spare + r.share * taken
     }
 
-    /// The pace of an engine in a band where enough was measured of late: time on its threads over work.
-    fn pace(&self, e: &Engine, b: usize, enough: f64) -> Option<f64> {
-        let known = e.pace[b].weight(self.now, HALF) > enough * self.usual_work(b);
-        e.pace[b].mean().filter(|_| known)
+    /// The pace of an engine in a band: time on its threads over work. It leans to the best where little
+    /// is known: one heavy query is no jam, and a jam not heard of for long may be over.
+    fn pace(&self, e: &Engine, b: usize) -> f64 {
+        let (usual, best) = (self.usual_work(b), self.bands[b].best);
+        let best = if best.is_finite() { best } else { 1.0 };
+        let weight = e.pace[b].weight(self.now, HALF);
+        (e.pace[b].mean().map_or(0.0, |m| m * weight) + best * LEAN * usual) / (weight + LEAN * usual)
     }
 
     /// Times the best pace at which this engine answers now; 1 when nothing is known.
@@ -538,11 +545,9 @@
         let e = &self.engines[engine];
         let (mut sum, mut weight) = (0.0, 0.0);
         for (b, band) in self.bands.iter().enumerate().filter(|b| b.1.best.is_finite()) {
-            if let Some(pace) = self.pace(e, b, 0.5) {
-                let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b);
-                sum += w * pace / band.best;
-                weight += w;
-            }
+            let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b) + LEAN;
+            sum += w * self.pace(e, b) / band.best;
+            weight += w;
         }
         // Without a measure the sum is no number, and `max` drops it.
         (sum / weight).max(1.0)
@@ -550,18 +555,21 @@
 
     fn learn_best(&mut self) {
         for b in 0..self.bands.len() {
-            let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 2.0));
-            self.bands[b].best = paces.fold(self.bands[b].best, f64::min);
+            let enough = |e: &&Engine| e.pace[b].weight(self.now, HALF) > ENOUGH * self.usual_work(b);
+            let paces = self.engines.iter().filter(|e| e.in_use()).filter(enough);
+            // A lucky second, or a guess of work since corrected, must not mean pressure for good.
+            let forgotten = self.bands[b].best * 2f64.powf((self.now - self.learnt) / FORGOTTEN);
+            self.bands[b].best = paces.filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
         }
+        self.learnt = self.now;
     }
 
     /// The middle pace among engines in use: what a submission of this band may count on.
     fn usual_pace(&self, b: usize) -> f64 {
-        let paces = self.engines.iter().filter(|e| e.in_use()).filter_map(|e| self.pace(e, b, 0.5));
-        let mut paces: Vec<f64> = paces.collect();
+        let in_use = self.engines.iter().filter(|e| e.in_use());
+        let mut paces: Vec<f64> = in_use.map(|e| self.pace(e, b)).collect();
         paces.sort_by(f64::total_cmp);
-        let known = paces.get(paces.len() / 2).copied().or(Some(self.bands[b].best));
-        known.filter(|p| p.is_finite()).unwrap_or(1.0)
+        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
     }
 
     /// How long a submission would take now at the usual pace.
@@ -586,7 +594,7 @@
         let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
-        let pace = self.pace(e, b, 0.5).unwrap_or(self.usual_pace(b));
+        let pace = self.pace(e, b);
         let in_time = self.now + s.work / self.m.bands[b].threads * pace <= s.aim;
         self.now > e.full_until && (within && in_time || self.stretch(engine) <= PRESSED)
     }
@@ -622,16 +630,13 @@
     /// threads a core, slower cores counting for less; then the others in order.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
-        let rank = |i: usize| mix(mix(s.of.tables) ^ self.engines[i].listed.id);
         let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
         let mut order: Vec<usize> = able.collect();
-        order.sort_by_key(|&i| rank(i));
+        order.sort_by_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
         let small = (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min);
-        let due = |&i: &usize| self.engines[i].aside.is_some_and(|a| a.0 <= self.now);
-        if s.forwards == 0 && s.work <= 1.5 * small {
-            if let Some(i) = order.iter().copied().find(due) {
-                return Some(i);
-            }
+        let due = |i: &usize| self.engines[*i].aside.is_some_and(|a| a.0 <= self.now);
+        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && s.work <= 1.5 * small) {
+            return Some(*i);
         }
         // What was tried already comes last but for what is set aside.
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
@@ -657,20 +662,16 @@
         let threads = self.m.bands[b].threads;
         let band = &mut self.bands[b];
         band.line.retain(|&i| i != sub);
-        band.threads += threads;
-        band.started += threads * now;
+        (band.threads, band.started) = (band.threads + threads, band.started + threads * now);
         if again {
             self.further.push_back(now);
         }
         let span = self.m.ration.map_or(0.0, |r| r.span);
         self.further.retain(|&t| t >= now - span);
-        while self.taken_at.front().is_some_and(|&t| t < now - span) {
-            self.taken_at.pop_front();
-        }
+        self.taken_at.retain(|&t| t >= now - span);
         let usual = self.usual_work(b);
         let e = &mut self.engines[engine];
-        e.threads += threads;
-        e.running += 1;
+        (e.threads, e.running) = (e.threads + threads, e.running + 1);
         e.cold_sent.push_back((now, usual));
         e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
         if let Some(a) = e.aside.as_mut() {
@@ -701,10 +702,9 @@
             Repeat::Tagged(Within::All) => within,
             _ => s.may_have_run.is_empty(),
         };
-        if harmless {
-            out.turn_back(sub, come_back);
-        } else {
-            out.scrap(sub);
+        match harmless {
+            true => out.turn_back(sub, come_back),
+            false => out.scrap(sub),
         }
         self.close(sub, out);
         true
