--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,16 +35,13 @@
 const BAD: u32 = 5;
 /// This many times its peers' pace is a fault of the engine, not of its load.
 const SLOW: f64 = 2.5;
-/// A set-aside engine gets one small submission this often at first, and twice as often after each
-/// that went well, until it is back.
+/// A set-aside engine first gets one small submission this often; each that goes well halves it.
 const TRICKLE: Ms = 1000.0;
-const BACK: Ms = 200.0;
 /// After a full answer nothing goes there for this long, twice as long after each further one.
 const FULL_REST: Ms = 100.0;
-const FULL_MOST: Ms = 3000.0;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.9;
-/// A guess of memory falls short now and then, and spilling costs more than a wider grant.
+/// A guess of memory falls short now and then; spilling costs more than a wider grant.
 const GRANT: f64 = 1.2;
 
 /// A sum and its weight, both fading; brought up to date when touched.
@@ -98,6 +95,8 @@
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
+    /// By band, when the latest sent of those that were settled in time was sent.
+    fine: Vec<Ms>,
     full_until: Ms,
     full_rest: Ms,
     /// When set aside: when the next of the trickle may go, and the gap between them.
@@ -121,20 +120,21 @@
         if let Some((next, gap)) = self.aside {
             let gap = if well { gap / 2.0 } else { (gap * 2.0).min(TRICKLE * 2.0) };
             self.aside = Some((if well { next.min(now + gap) } else { now + gap }, gap));
-            if gap < BACK {
+            if gap < TRICKLE / 5.0 {
                 (self.aside, self.record, self.seen) = (None, 0, 0);
             }
         }
     }
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Forward {
     engine: usize,
     sent: Ms,
     /// Up to when, and to which share done, the engine's pace was counted.
     counted: (Ms, f64),
     overdue: bool,
+    lost: bool,
     withdrawn: bool,
 }
 
@@ -184,9 +184,7 @@
     note_after: Ms,
 }
 
-type Rule = fn(&mut Gateway, &mut dyn Outlet) -> bool;
-
-const RULES: [Rule; 8] = [
+const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 8] = [
     Gateway::ask_for_the_roster,
     Gateway::answer_at_the_hard_limit,
     Gateway::count_the_overdue,
@@ -200,8 +198,8 @@
 impl Gateway {
     pub fn new(m: Mandate, seed: u64) -> Self {
         let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
-        let subscribe_at = m.must_subscribe.then_some(0.0);
-        Gateway { m, chance: Pcg(seed), bands, subscribe_at, ..Default::default() }
+        let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
+        Gateway { m, chance, bands, subscribe_at, ..Default::default() }
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
@@ -217,6 +215,7 @@
             if e.pace.is_empty() || e.listed.since != line.since {
                 e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
                 e.pace = vec![Fade::default(); self.m.bands.len()];
+                e.fine = vec![0.0; self.m.bands.len()];
                 (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
                 e.ghosts.clear();
             }
@@ -296,25 +295,26 @@
             s.work = work.max(1.0);
         }
         let (work, open, in_time) = (s.work, s.open, now <= s.aim);
-        let expected = self.service(b, work) * self.stretch(fwd.engine);
-        let usual = self.usual_pace(b) * work / threads;
+        let usual = self.service(b, work);
+        let expected = usual * self.stretch(fwd.engine);
         let e = &mut self.engines[fwd.engine];
-        (e.threads, e.running) = (e.threads - threads, e.running - 1);
+        (e.threads, e.running) = (e.threads - if fwd.lost { 0.0 } else { threads }, e.running - 1);
         match what {
             Outcome::Settled(_) => {
                 e.full_rest = 0.0;
                 e.pace[b].add(now, HALF, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
                 if !fwd.overdue {
+                    e.fine[b] = e.fine[b].max(fwd.sent);
                     e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none());
                 }
             }
             Outcome::Full => {
-                e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, FULL_MOST);
+                e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, 30.0 * FULL_REST);
                 e.full_until = now + e.full_rest;
             }
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false),
             // Where a time-out stops nothing, the threads stay busy; the bound must know.
-            Outcome::TimedOut if !self.m.may_withdraw => {
+            Outcome::TimedOut if !self.m.may_withdraw && !fwd.lost => {
                 e.ghosts.push((fwd.sent + (expected * 2.0).max(elapsed * 1.5), threads));
             }
             _ => {}
@@ -350,9 +350,7 @@
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
-        for e in &mut self.engines {
-            e.ghosts.retain(|g| g.0 > now);
-        }
+        self.engines.iter_mut().for_each(|e| e.ghosts.retain(|g| g.0 > now));
         self.learn_best();
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
@@ -383,8 +381,15 @@
                 f.overdue = true;
                 let e = &mut self.engines[f.engine];
                 e.judge(self.now, false);
-                e.pace[s.of.band].add(self.now, HALF, (self.now - f.counted.0) * terms.threads, 0.0);
-                f.counted.0 = self.now;
+                // Against answers that get lost: what was sent later is settled already, so this one
+                // says nothing of the engine's pace, and holds no threads there.
+                f.lost = e.fine[s.of.band] > f.sent;
+                if f.lost {
+                    e.threads -= terms.threads;
+                } else {
+                    e.pace[s.of.band].add(self.now, HALF, (self.now - f.counted.0) * terms.threads, 0.0);
+                    f.counted.0 = self.now;
+                }
             }
         }
         false
@@ -486,8 +491,7 @@
     }
 
     fn usual_work(&self, b: usize) -> f64 {
-        let terms = &self.m.bands[b];
-        self.bands[b].work.mean().unwrap_or(terms.expected * terms.threads)
+        self.bands[b].work.mean().unwrap_or(self.m.bands[b].expected * self.m.bands[b].threads)
     }
 
     fn keyed(&self, sub: usize) -> bool {
@@ -534,8 +538,8 @@
     /// The pace of an engine in a band: time on its threads over work. It leans to the best where little
     /// is known: one heavy query is no jam, and a jam not heard of for long may be over.
     fn pace(&self, e: &Engine, b: usize) -> f64 {
-        let (usual, best) = (self.usual_work(b), self.bands[b].best);
-        let best = if best.is_finite() { best } else { 1.0 };
+        let usual = self.usual_work(b);
+        let best = Some(self.bands[b].best).filter(|p| p.is_finite()).unwrap_or(1.0);
         let weight = e.pace[b].weight(self.now, HALF);
         (e.pace[b].mean().map_or(0.0, |m| m * weight) + best * LEAN * usual) / (weight + LEAN * usual)
     }
@@ -657,7 +661,7 @@
         let (b, memory, again) = (s.of.band, s.of.memory_mb, s.forwards > 0);
         s.forwards += 1;
         s.may_have_run.push((engine, now));
-        s.out = Some(Forward { engine, sent: now, counted: (now, 0.0), overdue: false, withdrawn: false });
+        s.out = Some(Forward { engine, sent: now, counted: (now, 0.0), ..Default::default() });
         self.flying.push(sub);
         let threads = self.m.bands[b].threads;
         let band = &mut self.bands[b];
@@ -669,8 +673,7 @@
         let span = self.m.ration.map_or(0.0, |r| r.span);
         self.further.retain(|&t| t >= now - span);
         self.taken_at.retain(|&t| t >= now - span);
-        let usual = self.usual_work(b);
-        let e = &mut self.engines[engine];
+        let (usual, e) = (self.usual_work(b), &mut self.engines[engine]);
         (e.threads, e.running) = (e.threads + threads, e.running + 1);
         e.cold_sent.push_back((now, usual));
         e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
@@ -694,8 +697,7 @@
 
     /// The final answer for what is given up: turned back where that claim is allowed, else scrapped.
     fn end(&mut self, sub: usize, come_back: Ms, out: &mut dyn Outlet) -> bool {
-        let s = &self.subs[sub];
-        let terms = &self.m.bands[s.of.band];
+        let (s, terms) = (&self.subs[sub], &self.m.bands[self.subs[sub].of.band]);
         let within = s.may_have_run.iter().all(|r| self.now <= r.1 + terms.window);
         let harmless = match terms.repeat {
             Repeat::Repeatable => true,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -18,15 +18,11 @@
 
 /// Settles quickly at first, then slowly, so that the only engines are under pressure at the time returned.
 fn press(g: &mut Gateway, slots: std::ops::Range<usize>) -> Ms {
-    let mut now = 1.0;
+    let (mut now, mut sheet) = (1.0, Sheet::default());
     for took in [100.0, 100.0, 100.0, 400.0, 400.0] {
-        for i in slots.clone() {
-            g.take(now, i, ask(0, 100.0), &mut Sheet::default());
-        }
+        slots.clone().for_each(|i| g.take(now, i, ask(0, 100.0), &mut sheet));
         now += took;
-        for i in slots.clone() {
-            g.outcome(now, i, Outcome::Settled(None), true, &mut Sheet::default());
-        }
+        slots.clone().for_each(|i| g.outcome(now, i, Outcome::Settled(None), true, &mut sheet));
         now += 1.0;
     }
     now
@@ -192,3 +188,19 @@
     assert_eq!(sheet.forwards(), [], "it would keep a jammed engine jammed");
     assert!(sheet.0.contains(&Act::TurnBack(10, 0.0)), "given up at once");
 }
+
+#[test]
+fn lost_answers_are_no_jam() {
+    let mut g = start(two_bands(), 1);
+    let (mut now, mut sheet, mut held) = (1.0, Sheet::default(), 0);
+    for i in 0..120 {
+        g.take(now, i, ask(0, 100.0), &mut sheet);
+        now += 100.0;
+        // Every fourth answer never comes; the others do, and at once.
+        if i % 4 > 0 {
+            g.outcome(now, i, Outcome::Settled(None), true, &mut sheet);
+        }
+        held += std::mem::take(&mut sheet).0.iter().any(|a| matches!(a, Act::Forward(..))) as u32;
+    }
+    assert_eq!(held, 120, "each went out when it came");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,19 +4,12 @@
 
 use common::*;
 use ironstair::logic::Gateway;
+use ironstair::Outcome::*;
 use ironstair::*;
 use quickcheck::{Gen, QuickCheck, TestResult};
 
-const OUTCOMES: [Outcome; 8] = [
-    Outcome::Settled(Some(60.0)),
-    Outcome::Error,
-    Outcome::Full,
-    Outcome::TimedOut,
-    Outcome::NoConnection,
-    Outcome::Reset,
-    Outcome::Withdrawn,
-    Outcome::Unsent,
-];
+const OUTCOMES: [Outcome; 8] =
+    [Settled(Some(60.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
 
 struct Play {
     now: Ms,
