--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,7 +298,7 @@
         let usual = self.service(b, work);
         let expected = usual * self.stretch(fwd.engine);
         let e = &mut self.engines[fwd.engine];
-        (e.threads, e.running) = (e.threads - threads, e.running - 1);
+        (e.threads, e.running) = (e.threads - if fwd.lost { 0.0 } else { threads }, e.running - 1);
         match what {
             Outcome::Settled(_) => {
                 e.full_rest = 0.0;
@@ -381,10 +381,12 @@
                 f.overdue = true;
                 let e = &mut self.engines[f.engine];
                 e.judge(self.now, false);
-                // Against answers that get lost: what was sent later is settled already, so this one
+                // Against answers that get lost: one sent in the later half of its time is settled, so this
                 // says nothing of the engine's pace, and holds no threads there.
-                f.lost = e.fine[s.of.band] > f.sent;
-                if !f.lost {
+                f.lost = e.fine[s.of.band] > (f.sent + self.now) / 2.0;
+                if f.lost {
+                    e.threads -= terms.threads;
+                } else {
                     e.pace[s.of.band].add(self.now, HALF, (self.now - f.counted.0) * terms.threads, 0.0);
                     f.counted.0 = self.now;
                 }
