Paces learnt once a moment instead of for each question

Cause: the drill's long batches (40 engines, 6,000 submissions at once) used 52 s of CPU: each comparison in a line sorted the paces of all engines.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -160,6 +160,7 @@
     work: Fade,
     bias: Fade,
     best: f64,
+    middle: f64,
     longest_left: Ms,
 }
 
@@ -197,7 +198,8 @@
 
 impl Gateway {
     pub fn new(m: Mandate, seed: u64) -> Self {
-        let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
+        let bands =
+            m.bands.iter().map(|_| Band { best: f64::INFINITY, middle: 1.0, ..Default::default() }).collect();
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
         Gateway { m, chance, bands, subscribe_at, ..Default::default() }
     }
@@ -351,7 +353,7 @@
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
         self.engines.iter_mut().for_each(|e| e.ghosts.retain(|g| g.0 > now));
-        self.learn_best();
+        self.learn_paces();
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
 
@@ -557,28 +559,26 @@
         (sum / weight).max(1.0)
     }
 
-    fn learn_best(&mut self) {
-        for b in 0..self.bands.len() {
+    // Once a moment: thousands may come in one batch, and all engines are too many for each to ask.
+    fn learn_paces(&mut self) {
+        for b in (0..self.bands.len()).filter(|_| self.now > self.learnt) {
             let enough = |e: &&Engine| e.pace[b].weight(self.now, HALF) > ENOUGH * self.usual_work(b);
-            let paces = self.engines.iter().filter(|e| e.in_use()).filter(enough);
+            let in_use = self.engines.iter().filter(|e| e.in_use());
             // A lucky second, or a guess of work since corrected, must not mean pressure for good.
             let forgotten = self.bands[b].best * 2f64.powf((self.now - self.learnt) / FORGOTTEN);
-            self.bands[b].best = paces.filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
+            self.bands[b].best =
+                in_use.filter(enough).filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
+            let mut paces: Vec<f64> =
+                self.engines.iter().filter(|e| e.in_use()).map(|e| self.pace(e, b)).collect();
+            paces.sort_by(f64::total_cmp);
+            self.bands[b].middle = paces.get(paces.len() / 2).copied().unwrap_or(1.0);
         }
         self.learnt = self.now;
     }
 
-    /// The middle pace among engines in use: what a submission of this band may count on.
-    fn usual_pace(&self, b: usize) -> f64 {
-        let in_use = self.engines.iter().filter(|e| e.in_use());
-        let mut paces: Vec<f64> = in_use.map(|e| self.pace(e, b)).collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
-    }
-
-    /// How long a submission would take now at the usual pace.
+    /// How long a submission would take now at the middle pace of the engines in use.
     fn service(&self, b: usize, work: Ms) -> Ms {
-        work / self.m.bands[b].threads * self.usual_pace(b)
+        work / self.m.bands[b].threads * self.bands[b].middle
     }
 
     /// A line longer than this gateway's share of the fleet can work off in the expected time is full.
@@ -598,8 +598,7 @@
         let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
-        let pace = self.pace(e, b);
-        let in_time = self.now + s.work / self.m.bands[b].threads * pace <= s.aim;
+        let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         self.now > e.full_until && (within && in_time || self.stretch(engine) <= PRESSED)
     }
 
