--- a/src/logic.rs
+++ b/src/logic.rs
@@ -630,7 +630,7 @@
     }
 
     /// The shared order hashed from the table group; among its homes the one with the fewest own
-    /// threads a core, slower cores counting for less; then the others in order.
+    /// threads a core; then the others in order.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
         let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
@@ -645,7 +645,7 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores * self.stretch(i);
+        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores;
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
