Say repeated formulas once; ask an engine's stretch once a placement

The expected time stood in three places, the tagged window in two, the engines in use twice in one loop, and each placement asked the stretch of an engine twice.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 //! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
 //! small indices by which submissions, engines and bands are known here.
 
-use crate::{Listed, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Within, Word};
+use crate::{Listed, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within, Word};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Threads a core that all gateways together may keep busy on an engine under pressure. Half over the
@@ -84,6 +84,10 @@
     x ^ (x >> 32)
 }
 
+fn within(terms: &Terms, work: Ms) -> Ms {
+    terms.expected + terms.expected_stretch * work / terms.threads
+}
+
 #[derive(Default)]
 struct Engine {
     listed: Listed,
@@ -249,12 +253,11 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        let within = terms.expected + terms.expected_stretch * work / terms.threads;
         // A later try has spent as much of its expected time as it lacks of the longest time left seen.
         // Against clients that merely have less patience: only where the try is marked as a later one.
         band.longest_left = band.longest_left.max(of.left);
         let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
-        let (aim, limit) = (now + within - spent, now + of.left);
+        let (aim, limit) = (now + within(terms, work) - spent, now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
@@ -379,7 +382,7 @@
             let s = &mut self.subs[i];
             let terms = &self.m.bands[s.of.band];
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
-            if self.now - f.sent > terms.expected + terms.expected_stretch * s.work / terms.threads {
+            if self.now - f.sent > within(terms, s.work) {
                 f.overdue = true;
                 let e = &mut self.engines[f.engine];
                 e.judge(self.now, false);
@@ -425,9 +428,8 @@
     fn call_back(&mut self, out: &mut dyn Outlet) -> bool {
         let stuck = |&&i: &&usize| {
             let s = &self.subs[i];
-            let again = self.now + self.service(s.of.band, s.work);
             s.out.is_some_and(|f| f.overdue && !f.withdrawn && self.engines[f.engine].aside.is_some())
-                && again < s.limit
+                && self.now + self.service(s.of.band, s.work) < s.limit
                 && self.rationed()
                 && self.may_forward_again(s)
                 && self.m.bands[s.of.band].repeat == Repeat::Repeatable
@@ -524,11 +526,15 @@
         s.forwards < self.m.most_forwards
             && match terms.repeat {
                 Repeat::Repeatable => true,
-                Repeat::Tagged(_) => s.may_have_run.iter().all(|r| self.now <= r.1 + terms.window),
+                Repeat::Tagged(_) => self.in_window(s),
                 Repeat::OnceOnly => s.may_have_run.is_empty(),
             }
     }
 
+    fn in_window(&self, s: &Taken) -> bool {
+        s.may_have_run.iter().all(|r| self.now <= r.1 + self.m.bands[s.of.band].window)
+    }
+
     /// Whether the budget has one more further forward, counted exactly over the window.
     fn rationed(&self) -> bool {
         let Some(r) = self.m.ration else { return true };
@@ -563,13 +569,12 @@
     fn learn_paces(&mut self) {
         for b in (0..self.bands.len()).filter(|_| self.now > self.learnt) {
             let enough = |e: &&Engine| e.pace[b].weight(self.now, HALF) > ENOUGH * self.usual_work(b);
-            let in_use = self.engines.iter().filter(|e| e.in_use());
+            let in_use = || self.engines.iter().filter(|e| e.in_use());
             // A lucky second, or a guess of work since corrected, must not mean pressure for good.
             let forgotten = self.bands[b].best * 2f64.powf((self.now - self.learnt) / FORGOTTEN);
             self.bands[b].best =
-                in_use.filter(enough).filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
-            let mut paces: Vec<f64> =
-                self.engines.iter().filter(|e| e.in_use()).map(|e| self.pace(e, b)).collect();
+                in_use().filter(enough).filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
+            let mut paces: Vec<f64> = in_use().map(|e| self.pace(e, b)).collect();
             paces.sort_by(f64::total_cmp);
             self.bands[b].middle = paces.get(paces.len() / 2).copied().unwrap_or(1.0);
         }
@@ -585,8 +590,7 @@
     fn room(&self, b: usize) -> usize {
         let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
         let (terms, usual) = (&self.m.bands[b], self.usual_work(b));
-        let within = terms.expected + terms.expected_stretch * usual / terms.threads;
-        (2.0 * cores * within / usual / self.m.gateways).max(4.0) as usize
+        (2.0 * cores * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
     // The bound is asked before the submission's own threads: an even share may be smaller than one wide
@@ -594,22 +598,22 @@
     fn open(&self, engine: usize, s: &Taken) -> bool {
         let (e, b) = (&self.engines[engine], s.of.band);
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
-        let strain = ((self.stretch(engine) - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
-        let within = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let stretch = self.stretch(engine);
+        let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
+        let fits = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        self.now > e.full_until && (within && in_time || self.stretch(engine) <= PRESSED)
+        self.now > e.full_until && (fits && in_time || stretch <= PRESSED)
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
     fn cold_room(&self, e: &Engine, b: usize) -> bool {
-        let age = self.now - e.listed.since;
+        let (m, age) = (&self.m, self.now - e.listed.since);
         // Half of an even ramp is counted on: how an engine warms up is not told.
-        let warm =
-            self.m.cold_from + (1.0 - self.m.cold_from) * (age / self.m.warm_after).clamp(0.0, 1.0) / 2.0;
-        let capacity = 0.85 * e.cores * warm * self.m.fall_span;
-        let share = COLD_SHARE * self.m.fall_multiple * capacity / self.m.gateways;
+        let warm = m.cold_from + (1.0 - m.cold_from) * (age / m.warm_after).clamp(0.0, 1.0) / 2.0;
+        let capacity = 0.85 * e.cores * warm * m.fall_span;
+        let share = COLD_SHARE * m.fall_multiple * capacity / m.gateways;
         let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - self.m.fall_span);
         let sent = recent.map(|s| s.1).sum::<f64>() + self.usual_work(b);
         e.listed.since <= 0.0 || age >= self.m.warm_after || sent <= share
@@ -696,11 +700,10 @@
 
     /// The final answer for what is given up: turned back where that claim is allowed, else scrapped.
     fn end(&mut self, sub: usize, come_back: Ms, out: &mut dyn Outlet) -> bool {
-        let (s, terms) = (&self.subs[sub], &self.m.bands[self.subs[sub].of.band]);
-        let within = s.may_have_run.iter().all(|r| self.now <= r.1 + terms.window);
-        let harmless = match terms.repeat {
+        let s = &self.subs[sub];
+        let harmless = match self.m.bands[s.of.band].repeat {
             Repeat::Repeatable => true,
-            Repeat::Tagged(Within::All) => within,
+            Repeat::Tagged(Within::All) => self.in_window(s),
             _ => s.may_have_run.is_empty(),
         };
         match harmless {
@@ -728,10 +731,9 @@
 
     fn recall(&mut self, sub: usize, out: &mut dyn Outlet) {
         let s = &mut self.subs[sub];
-        let nth = s.forwards.saturating_sub(1);
         if let Some(f) = s.out.as_mut().filter(|f| self.m.may_withdraw && !f.withdrawn) {
             f.withdrawn = true;
-            out.withdraw(sub, nth);
+            out.withdraw(sub, s.forwards.saturating_sub(1));
         }
     }
 }
