Exemption of the first query bounded over the fleet; paces pooled over engines

Cause: with hundreds of gateways each may run one query on every engine, which is no bound in sum, and each gateway's paces per engine are empty between its submissions. Also covers clients that share out unequally.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,8 @@
 const STRAINED: f64 = 1.6;
 /// Half-life of measured paces: long enough to remember a jam between looks, short against a trouble.
 const HALF: Ms = 2000.0;
+/// Half-life of the work settled: some reports' time, so that one settled does not swing it.
+const SETTLED_HALF: Ms = 5000.0;
 /// Half-life of means that describe a band's work, which hardly changes.
 const LONG_HALF: Ms = 20_000.0;
 /// Usual submissions of late from which on a pace can stand as the best.
@@ -163,6 +165,7 @@
     started: f64,
     work: Fade,
     bias: Fade,
+    fleet: Fade,
     best: f64,
     middle: f64,
     longest_left: Ms,
@@ -183,6 +186,7 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
+    settled: Fade,
     learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
@@ -307,11 +311,12 @@
         match what {
             Outcome::Settled(_) => {
                 e.full_rest = 0.0;
-                e.pace[b].add(now, HALF, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
                 if !fwd.overdue {
                     e.fine[b] = e.fine[b].max(fwd.sent);
                     e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none());
                 }
+                self.settled.add(now, SETTLED_HALF, 0.0, work);
+                self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
             Outcome::Full => {
                 e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, 30.0 * FULL_REST);
@@ -336,10 +341,11 @@
         let s = &mut self.subs[sub];
         let (b, work) = (s.of.band, s.work);
         if let Some(f) = s.out.as_mut().filter(|_| word == Word::Progress) {
-            let done = value.max(f.counted.1).min(1.0);
-            let spent = (now - f.counted.0) * self.m.bands[b].threads;
-            self.engines[f.engine].pace[b].add(now, HALF, spent, (done - f.counted.1) * work);
+            let (done, (then, before)) = (value.max(f.counted.1).min(1.0), f.counted);
+            let engine = f.engine;
             f.counted = (now, done);
+            self.now = now;
+            self.learn(engine, b, (now - then) * self.m.bands[b].threads, (done - before) * work);
         }
         self.settle(now, out);
     }
@@ -378,9 +384,9 @@
     // the expected time counts as one. Harm: a band whose expected time nobody can meet marks every
     // engine alike, which `set_aside` lets pass since none is then worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
-        for &i in &self.flying {
-            let s = &mut self.subs[i];
-            let terms = &self.m.bands[s.of.band];
+        for n in 0..self.flying.len() {
+            let s = &mut self.subs[self.flying[n]];
+            let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
             if self.now - f.sent > within(terms, s.work) {
                 f.overdue = true;
@@ -388,12 +394,13 @@
                 e.judge(self.now, false);
                 // Against answers that get lost: one sent in the later half of its time is settled, so this
                 // says nothing of the engine's pace, and holds no threads there.
-                f.lost = e.fine[s.of.band] > (f.sent + self.now) / 2.0;
+                f.lost = e.fine[b] > (f.sent + self.now) / 2.0;
                 if f.lost {
                     e.threads -= terms.threads;
                 } else {
-                    e.pace[s.of.band].add(self.now, HALF, (self.now - f.counted.0) * terms.threads, 0.0);
+                    let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
                     f.counted.0 = self.now;
+                    self.learn(engine, b, spent, 0.0);
                 }
             }
         }
@@ -543,13 +550,22 @@
         further + 1.0 <= r.spare + r.share * taken
     }
 
-    /// The pace of an engine in a band: time on its threads over work. It leans to the best where little
-    /// is known: one heavy query is no jam, and a jam not heard of for long may be over.
+    fn learn(&mut self, engine: usize, b: usize, spent: Ms, done: Ms) {
+        for pace in [&mut self.engines[engine].pace[b], &mut self.bands[b].fleet] {
+            pace.add(self.now, HALF, spent, done);
+        }
+    }
+
+    /// The pace of an engine in a band: time on its threads over work. It leans to the fleet's where little
+    /// is known, and that to the best: one heavy query is no jam, and a jam not heard of may be over.
     fn pace(&self, e: &Engine, b: usize) -> f64 {
-        let usual = self.usual_work(b);
         let best = Some(self.bands[b].best).filter(|p| p.is_finite()).unwrap_or(1.0);
-        let weight = e.pace[b].weight(self.now, HALF);
-        (e.pace[b].mean().map_or(0.0, |m| m * weight) + best * LEAN * usual) / (weight + LEAN * usual)
+        self.leaning(&e.pace[b], b, self.leaning(&self.bands[b].fleet, b, best))
+    }
+
+    fn leaning(&self, pace: &Fade, b: usize, to: f64) -> f64 {
+        let (weight, lean) = (pace.weight(self.now, HALF), LEAN * self.usual_work(b));
+        (pace.mean().map_or(0.0, |m| m * weight) + to * lean) / (weight + lean)
     }
 
     /// Times the best pace at which this engine answers now; 1 when nothing is known.
@@ -600,13 +616,23 @@
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(engine);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
-        let fits = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let fits =
+            e.running == 0 && self.fleet_room() || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         self.now > e.full_until && (fits && in_time || stretch <= PRESSED)
     }
 
+    // Against hundreds of gateways that each run one on every engine: the even shares of all engines together
+    // bound those, or what the work settled lately would occupy where that is more: traffic is unequal.
+    fn fleet_room(&self) -> bool {
+        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
+        let busy: f64 = self.engines.iter().map(|e| e.busy()).sum();
+        let settled = self.settled.weight(self.now, SETTLED_HALF) * std::f64::consts::LN_2 / SETTLED_HALF;
+        busy < FACTOR * (cores / self.m.gateways).max(settled)
+    }
+
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
     fn cold_room(&self, e: &Engine, b: usize) -> bool {
         let (m, age) = (&self.m, self.now - e.listed.since);
