--- a/src/logic.rs
+++ b/src/logic.rs
@@ -167,7 +167,6 @@
     bias: Fade,
     fleet: Fade,
     best: f64,
-    middle: f64,
     longest_left: Ms,
 }
 
@@ -206,8 +205,7 @@
 
 impl Gateway {
     pub fn new(m: Mandate, seed: u64) -> Self {
-        let bands =
-            m.bands.iter().map(|_| Band { best: f64::INFINITY, middle: 1.0, ..Default::default() }).collect();
+        let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
         Gateway { m, chance, bands, subscribe_at, ..Default::default() }
     }
@@ -559,8 +557,12 @@
     /// The pace of an engine in a band: time on its threads over work. It leans to the fleet's where little
     /// is known, and that to the best: one heavy query is no jam, and a jam not heard of may be over.
     fn pace(&self, e: &Engine, b: usize) -> f64 {
+        self.leaning(&e.pace[b], b, self.fleet_pace(b))
+    }
+
+    fn fleet_pace(&self, b: usize) -> f64 {
         let best = Some(self.bands[b].best).filter(|p| p.is_finite()).unwrap_or(1.0);
-        self.leaning(&e.pace[b], b, self.leaning(&self.bands[b].fleet, b, best))
+        self.leaning(&self.bands[b].fleet, b, best)
     }
 
     fn leaning(&self, pace: &Fade, b: usize, to: f64) -> f64 {
@@ -590,23 +592,23 @@
             let forgotten = self.bands[b].best * 2f64.powf((self.now - self.learnt) / FORGOTTEN);
             self.bands[b].best =
                 in_use().filter(enough).filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
-            let mut paces: Vec<f64> = in_use().map(|e| self.pace(e, b)).collect();
-            paces.sort_by(f64::total_cmp);
-            self.bands[b].middle = paces.get(paces.len() / 2).copied().unwrap_or(1.0);
         }
         self.learnt = self.now;
     }
 
-    /// How long a submission would take now at the middle pace of the engines in use.
+    /// How long a submission would take now at the fleet's pace.
     fn service(&self, b: usize, work: Ms) -> Ms {
-        work / self.m.bands[b].threads * self.bands[b].middle
+        work / self.m.bands[b].threads * self.fleet_pace(b)
+    }
+
+    fn cores(&self) -> f64 {
+        self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum()
     }
 
     /// A line longer than this gateway's share of the fleet can work off in the expected time is full.
     fn room(&self, b: usize) -> usize {
-        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
         let (terms, usual) = (&self.m.bands[b], self.usual_work(b));
-        (2.0 * cores * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
+        (2.0 * self.cores() * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
     // The bound is asked before the submission's own threads: an even share may be smaller than one wide
@@ -627,10 +629,9 @@
     // Against hundreds of gateways that each run one on every engine: the even shares of all engines together
     // bound those, or what the work settled lately would occupy where that is more: traffic is unequal.
     fn fleet_room(&self) -> bool {
-        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
         let busy: f64 = self.engines.iter().map(|e| e.busy()).sum();
         let settled = self.settled.weight(self.now, SETTLED_HALF) * std::f64::consts::LN_2 / SETTLED_HALF;
-        busy < FACTOR * (cores / self.m.gateways).max(settled)
+        busy < FACTOR * (self.cores() / self.m.gateways).max(settled)
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
