Ties between homes by lot

Cause: a gateway among hundreds has nothing running on most engines, so the tie always fell to the first home of a hot group.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,10 +72,13 @@
 struct Pcg(u64);
 
 impl Pcg {
-    fn unit(&mut self) -> f64 {
+    fn lot(&mut self) -> u64 {
         let s = self.0;
         self.0 = s.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32) as f64 / 4294967296.0
+        ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32) as u64
+    }
+    fn unit(&mut self) -> f64 {
+        self.lot() as f64 / 4294967296.0
     }
 }
 
@@ -155,6 +158,7 @@
     out: Option<Forward>,
     may_have_run: Vec<(usize, Ms)>,
     tried: Vec<usize>,
+    lot: u64,
 }
 
 #[derive(Default)]
@@ -264,7 +268,8 @@
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
         }
-        self.subs[sub] = Taken { of, work, open: true, aim, limit, ..Default::default() };
+        self.subs[sub] =
+            Taken { of, work, open: true, aim, limit, lot: self.chance.lot(), ..Default::default() };
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
@@ -679,7 +684,9 @@
         let load = |i: usize| self.engines[i].busy() / self.engines[i].cores;
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
-        home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
+        // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
+        let lot = |i: usize| mix(s.lot ^ self.engines[i].listed.id);
+        home.min_by(|&x, &y| load(x).total_cmp(&load(y)).then(lot(x).cmp(&lot(y))))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
