Wide queries ask engines for room where the even share is less than one query

Cause: among hundreds of gateways own threads and paces say nothing of an engine, and wide queries jam it for good (no cancels). Each now asks the engines of its order, two at a time, within 0.7 probes a submission, and enters by lot the fuller the less. Also covers slow, restarted and hung engines, which report themselves full or do not answer. Harm: an engine that cannot be probed gets no wide queries.

--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -120,6 +120,10 @@
         self.record(66);
         self.to.push(1);
     }
+    fn probe(&mut self, engine: usize) {
+        self.record(68);
+        self.to.extend(self.engines.id(engine));
+    }
     fn wake(&mut self, after: Ms) {
         self.record(73);
         self.to.extend(ns(after).to_le_bytes());
@@ -278,10 +282,13 @@
                 }
             }
             6 => {
-                f.fixed::<6>("engine")?;
+                let engine = engines.find(f.fixed::<6>("engine")?);
                 f.u8("status")?;
                 f.u64("latency")?;
-                f.values()?;
+                let values = f.values()?;
+                if let Some(e) = engine {
+                    gateway.report(now, e, &values, pen!());
+                }
             }
             8 => {
                 f.u64("id")?;
@@ -296,8 +303,11 @@
                 f.u8("attempt")?;
                 let used = f.u32("cost")?;
                 let closed = f.u8("closed")? != 0;
-                f.fixed::<6>("engine")?;
-                f.values()?;
+                let engine = engines.find(f.fixed::<6>("engine")?);
+                let values = f.values()?;
+                if let Some(e) = engine.filter(|_| !values.is_empty()) {
+                    gateway.report(now, e, &values, pen!());
+                }
                 let what = match status {
                     1 => Outcome::Settled((used > 0).then_some((used / 4096) as f64)),
                     0 => Outcome::Error,
--- a/crates/simhost/src/mandate.rs
+++ b/crates/simhost/src/mandate.rs
@@ -1,6 +1,6 @@
 //! Reads the start message. A figure that a rule rests on is never guessed: without it, no start.
 
-use ironstair::{Kind, Mandate, Ms, Ration, Repeat, Terms, Within};
+use ironstair::{Kind, Load, Mandate, Ms, Ration, Repeat, Terms, Within};
 use serde_json::Value;
 
 fn at<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
@@ -92,6 +92,13 @@
             span: time(&v, "guarantees.budget_span_ns")?,
         }),
     };
+    let reports = at(&v, "report.fields").and_then(Value::as_array).into_iter().flatten();
+    let reports = reports.map(|f| match f.as_str() {
+        Some("load_share") => Load::CoresBusy,
+        Some("x0") => Load::MemoryGranted,
+        Some("x1") => Load::DisksBusy,
+        _ => Load::Other,
+    });
     let ordered = bands.iter().any(|b| b.in_order);
     let key_rest = if ordered { time(&v, "guarantees.settle_after_doubt_ns")? } else { 0.0 };
     let advised = flag(&v, "policy_limits.retry_after")?;
@@ -103,6 +110,8 @@
         grants_heeded: flag(&v, "family_info.takes_grants")?,
         priorities_heeded: flag(&v, "family_info.lanes_count")?,
         may_withdraw: flag(&v, "policy_limits.may_cancel")?,
+        may_probe: flag(&v, "policy_limits.probes")?,
+        reports: reports.collect(),
         come_back_most: if advised { time(&v, "policy_limits.max_retry_after_ns")? } else { 0.0 },
         most_forwards: number(&v, "policy_limits.max_attempts")?.clamp(0.0, 255.0) as u8,
         must_subscribe: word(&v, "registry_mode")? == "subscribe",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,8 @@
     fn turn_back(&mut self, submission: usize, come_back: Ms);
     fn scrap(&mut self, submission: usize);
     fn subscribe(&mut self);
+    /// Asks an engine how it is; what it reports comes by `Gateway::report`.
+    fn probe(&mut self, engine: usize);
     fn wake(&mut self, after: Ms);
     fn note(&mut self, text: &str);
     /// Nothing more is expected about this submission: its index may be used again.
@@ -76,6 +78,9 @@
     pub grants_heeded: bool,
     pub priorities_heeded: bool,
     pub may_withdraw: bool,
+    pub may_probe: bool,
+    /// What the values of an engine's report tell, in their order.
+    pub reports: Vec<Load>,
     pub come_back_most: Ms,
     pub most_forwards: u8,
     pub must_subscribe: bool,
@@ -88,6 +93,15 @@
     pub tick: Ms,
 }
 
+/// What one value of an engine's report tells: a share of the engine, or something else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    CoresBusy,
+    MemoryGranted,
+    DisksBusy,
+    Other,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 //! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
 //! small indices by which submissions, engines and bands are known here.
 
-use crate::{Listed, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within, Word};
+use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within, Word};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Threads a core that all gateways together may keep busy on an engine under pressure. Half over the
@@ -41,6 +41,13 @@
 const TRICKLE: Ms = 1000.0;
 /// After a full answer nothing goes there for this long, twice as long after each further one.
 const FULL_REST: Ms = 100.0;
+/// An engine's report holds this long, and an answer to a probe is awaited for so many ticks.
+const FRESH: Ms = 400.0;
+const AWAIT: f64 = 5.0;
+/// Probes for each submission taken, at most: each costs engines work.
+const PROBES: f64 = 0.7;
+/// Wide queries enter by lot from this reported share of an engine up to all of it, where none does.
+const EASY: f64 = 0.7;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.9;
 /// A guess of memory falls short now and then; spilling costs more than a wider grant.
@@ -111,9 +118,15 @@
     /// When set aside: when the next of the trickle may go, and the gap between them.
     aside: Option<(Ms, Ms)>,
     cold_sent: VecDeque<(Ms, f64)>,
+    /// When the engine last reported, and the largest share of it that was in use; when it was asked.
+    report: Option<(Ms, f64)>,
+    asked: Option<Ms>,
 }
 
 impl Engine {
+    fn reported(&self, now: Ms) -> Option<(Ms, f64)> {
+        self.report.filter(|r| now - r.0 < FRESH)
+    }
     fn in_use(&self) -> bool {
         self.listed.standing == Standing::Ready && self.aside.is_none()
     }
@@ -190,18 +203,20 @@
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     settled: Fade,
+    probes: f64,
     learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
     note_after: Ms,
 }
 
-const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 8] = [
+const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 9] = [
     Gateway::ask_for_the_roster,
     Gateway::answer_at_the_hard_limit,
     Gateway::count_the_overdue,
     Gateway::set_aside,
     Gateway::call_back,
+    Gateway::probe,
     Gateway::release,
     Gateway::turn_back,
     Gateway::wake,
@@ -274,6 +289,7 @@
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
         self.taken_at.push_back(now);
+        self.probes = (self.probes + PROBES).min(10.0);
         self.settle(now, out);
     }
 
@@ -353,6 +369,15 @@
         self.settle(now, out);
     }
 
+    /// What an engine tells of itself, in the order that the mandate names; nothing when it does not answer.
+    pub fn report(&mut self, now: Ms, engine: usize, values: &[f64], out: &mut dyn Outlet) {
+        let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other).map(|r| *r.1);
+        if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
+            self.engines[engine].report = Some((now, most));
+        }
+        self.settle(now, out);
+    }
+
     pub fn left(&mut self, now: Ms, sub: usize, out: &mut dyn Outlet) {
         self.close(sub, out);
         self.settle(now, out);
@@ -448,6 +473,40 @@
         found.map(|sub| self.recall(sub, out)).is_some()
     }
 
+    // Against wide queries that hundreds of gateways send where the others' already run: each engine in the
+    // order is asked, two at a time, until one has room.
+    fn probe(&mut self, out: &mut dyn Outlet) -> bool {
+        for b in (0..self.bands.len()).filter(|&b| self.wide(b)) {
+            let Some(sub) = self.first_in(b) else { continue };
+            let s = &self.subs[sub];
+            let (mut pending, mut ask) = (0, None);
+            for i in self.order(s) {
+                let e = &self.engines[i];
+                match (e.reported(self.now), e.asked) {
+                    (Some(r), _) if self.enters(s, e, r) => break,
+                    (Some(_), _) => continue,
+                    (None, Some(t)) if self.now - t < FRESH => {
+                        pending += (self.now - t < AWAIT * self.m.tick) as u32
+                    }
+                    _ => {
+                        ask = Some(i);
+                        break;
+                    }
+                }
+                if pending == 2 {
+                    break;
+                }
+            }
+            if let Some(i) = ask.filter(|_| self.probes >= 1.0) {
+                self.probes -= 1.0;
+                self.engines[i].asked = Some(self.now);
+                out.probe(i);
+                return true;
+            }
+        }
+        false
+    }
+
     // Lowest charged work over weight first; if its submission fits nowhere, the next band's.
     fn release(&mut self, out: &mut dyn Outlet) -> bool {
         let mut order: Vec<usize> = (0..self.bands.len()).collect();
@@ -616,6 +675,22 @@
         (2.0 * self.cores() * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
+    /// Bands whose queries are wider than an engine's even share and much than the narrowest band's, where
+    /// engines can be asked how they are. Among few gateways own paces tell more than reports that lag.
+    fn wide(&self, b: usize) -> bool {
+        let engines = self.engines.iter().filter(|e| e.in_use()).count() as f64;
+        self.m.may_probe
+            && self.cores() * FACTOR / self.m.gateways < self.m.bands[b].threads * engines
+            && self.m.reports.iter().any(|r| *r != Load::Other)
+            && (0..self.bands.len()).any(|o| self.usual_work(b) > 4.0 * self.usual_work(o))
+    }
+
+    // By lot, the fuller the less: all gateways see the same report, and would all come or all stay away.
+    fn enters(&self, s: &Taken, e: &Engine, (at, share): (Ms, f64)) -> bool {
+        let lot = mix(s.lot ^ e.listed.id ^ at.to_bits()) as u32 as f64 / 4294967296.0;
+        lot < (1.0 - share) / (1.0 - EASY)
+    }
+
     // The bound is asked before the submission's own threads: an even share may be smaller than one wide
     // query, and would be lost to it for good.
     fn open(&self, engine: usize, s: &Taken) -> bool {
@@ -628,7 +703,8 @@
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        self.now > e.full_until && (fits && in_time || stretch <= PRESSED)
+        let enters = !self.wide(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
     // Against hundreds of gateways that each run one on every engine: the even shares of all engines together
@@ -665,13 +741,18 @@
             && self.cold_room(e, s.of.band)
     }
 
+    fn order(&self, s: &Taken) -> Vec<usize> {
+        let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
+        let mut order: Vec<usize> = able.collect();
+        order.sort_by_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
+        order
+    }
+
     /// The shared order hashed from the table group; among its homes the one with the fewest own
     /// threads a core; then the others in order.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
-        let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
-        let mut order: Vec<usize> = able.collect();
-        order.sort_by_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
+        let mut order = self.order(s);
         let small = (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min);
         let due = |i: &usize| self.engines[*i].aside.is_some_and(|a| a.0 <= self.now);
         if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && s.work <= 1.5 * small) {
@@ -681,7 +762,8 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores;
+        let told = |e: &Engine| e.reported(self.now).map_or(0.0, |r| r.1);
+        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores + told(&self.engines[i]);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,6 +15,7 @@
     TurnBack(usize, Ms),
     Scrap(usize),
     Subscribe,
+    Probe(usize),
     Wake(Ms),
     Note(String),
     Forget(usize),
@@ -44,6 +45,7 @@
         turn_back(submission: usize, come_back: Ms) Act::TurnBack(submission, come_back);
         scrap(submission: usize) Act::Scrap(submission);
         subscribe() Act::Subscribe;
+        probe(engine: usize) Act::Probe(engine);
         wake(after: Ms) Act::Wake(after);
         note(text: &str) Act::Note(text.into());
         forget(submission: usize) Act::Forget(submission);
