--- a/src/logic.rs
+++ b/src/logic.rs
@@ -675,12 +675,18 @@
         (2.0 * self.cores() * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
-    /// Bands whose queries are wider than an engine's even share and much than the narrowest band's, where
-    /// engines can be asked how they are. Among few gateways own paces tell more than reports that lag.
-    fn wide(&self, b: usize) -> bool {
+    /// So many gateways that the even share of an engine is less than one of the widest queries.
+    fn crowded(&self) -> bool {
+        let widest = self.m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
         let engines = self.engines.iter().filter(|e| e.in_use()).count() as f64;
+        self.cores() * FACTOR / self.m.gateways < widest * engines
+    }
+
+    /// Bands whose queries are much wider than the narrowest band's, where engines can be asked how they
+    /// are. Among few gateways own paces tell more than reports that lag.
+    fn wide(&self, b: usize) -> bool {
         self.m.may_probe
-            && self.cores() * FACTOR / self.m.gateways < self.m.bands[b].threads * engines
+            && self.crowded()
             && self.m.reports.iter().any(|r| *r != Load::Other)
             && (0..self.bands.len()).any(|o| self.usual_work(b) > 4.0 * self.usual_work(o))
     }
@@ -762,12 +768,13 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
+        let crowded = self.crowded();
         let told = |e: &Engine| e.reported(self.now).map_or(0.0, |r| r.1);
         let load = |i: usize| self.engines[i].busy() / self.engines[i].cores + told(&self.engines[i]);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
-        let lot = |i: usize| mix(s.lot ^ self.engines[i].listed.id);
+        let lot = |i: usize| if crowded { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)).then(lot(x).cmp(&lot(y))))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
