Where gateways are many and engines tell nothing, the last outcome alone sets aside

Now one failed, overdue or 2.5 times slower outcome sets an engine aside until the gateway would have met it anyway, and one good one takes it back. Harm would show as healthy engines aside in a jam; half the fleet stays.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,6 +35,7 @@
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 5;
+const LAST: u32 = 1;
 /// This many times its peers' pace is a fault of the engine, not of its load.
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
@@ -136,13 +137,13 @@
     fn busy(&self) -> f64 {
         self.threads + self.ghosts.iter().map(|g| g.1).sum::<f64>()
     }
-    fn judge(&mut self, now: Ms, well: bool) {
+    fn judge(&mut self, now: Ms, well: bool, (trickle, enough): (Ms, Ms)) {
         self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
         self.seen = (self.seen + 1).min(RECORD);
         if let Some((next, gap)) = self.aside {
-            let gap = if well { gap / 2.0 } else { (gap * 2.0).min(TRICKLE * 2.0) };
+            let gap = if well { gap / 2.0 } else { (gap * 2.0).min(trickle * 2.0) };
             self.aside = Some((if well { next.min(now + gap) } else { now + gap }, gap));
-            if gap < TRICKLE / 5.0 {
+            if gap < enough {
                 (self.aside, self.record, self.seen) = (None, 0, 0);
             }
         }
@@ -203,6 +204,7 @@
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     settled: Fade,
+    taken: Fade,
     probes: f64,
     learnt: Ms,
     wake_at: Ms,
@@ -288,6 +290,7 @@
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
+        self.taken.add(now, LONG_HALF, 0.0, 1.0);
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(10.0);
         self.settle(now, out);
@@ -323,6 +326,7 @@
             s.work = work.max(1.0);
         }
         let (work, open, in_time) = (s.work, s.open, now <= s.aim);
+        let (trickle, blind) = (self.trickle(), self.blind());
         let usual = self.service(b, work);
         let expected = usual * self.stretch(fwd.engine);
         let e = &mut self.engines[fwd.engine];
@@ -332,7 +336,7 @@
                 e.full_rest = 0.0;
                 if !fwd.overdue {
                     e.fine[b] = e.fine[b].max(fwd.sent);
-                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none());
+                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, trickle);
                 }
                 self.settled.add(now, SETTLED_HALF, 0.0, work);
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
@@ -341,7 +345,7 @@
                 e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, 30.0 * FULL_REST);
                 e.full_until = now + e.full_rest;
             }
-            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false),
+            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, trickle),
             // Where a time-out stops nothing, the threads stay busy; the bound must know.
             Outcome::TimedOut if !self.m.may_withdraw && !fwd.lost => {
                 e.ghosts.push((fwd.sent + (expected * 2.0).max(elapsed * 1.5), threads));
@@ -412,14 +416,17 @@
     // the expected time counts as one. Harm: a band whose expected time nobody can meet marks every
     // engine alike, which `set_aside` lets pass since none is then worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
+        let (trickle, blind) = (self.trickle(), self.blind());
         for n in 0..self.flying.len() {
+            let s = &self.subs[self.flying[n]];
+            let slow = if blind { SLOW * self.service(s.of.band, s.work) } else { f64::INFINITY };
             let s = &mut self.subs[self.flying[n]];
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
-            if self.now - f.sent > within(terms, s.work) {
+            if self.now - f.sent > within(terms, s.work).min(slow) {
                 f.overdue = true;
                 let e = &mut self.engines[f.engine];
-                e.judge(self.now, false);
+                e.judge(self.now, false, trickle);
                 // Against answers that get lost: one sent in the later half of its time is settled, so this
                 // says nothing of the engine's pace, and holds no threads there.
                 f.lost = e.fine[b] > (f.sent + self.now) / 2.0;
@@ -439,6 +446,7 @@
     // its peers by its last outcomes. When all worsen together, setting aside would only move the
     // load, so the fleet's own share of failures counts and no more than half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
+        let (least, gap) = (if self.blind() { LAST } else { BAD }, self.trickle().0);
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         if (aside + 1) * 2 > n {
@@ -449,12 +457,12 @@
         let worse = |e: &&mut Engine| {
             let others = |e: &Engine| (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
             let own = e.failures() as f64 / e.seen.max(1) as f64;
-            e.in_use() && e.failures() >= BAD && own > 2.0 * others(e)
+            e.in_use() && e.failures() >= least && own > 2.0 * others(e)
         };
         let Some(e) = self.engines.iter_mut().filter(worse).max_by_key(|e| e.failures()) else {
             return false;
         };
-        e.aside = Some((self.now + TRICKLE, TRICKLE));
+        e.aside = Some((self.now + gap, gap));
         out.note(&format!("engine {:012x} set aside: {} of {} failed", e.listed.id, e.failures(), e.seen));
         true
     }
@@ -682,12 +690,31 @@
         self.cores() * FACTOR / self.m.gateways < widest * engines
     }
 
+    /// The first gap of the trickle, and the gap at which an engine is back. Where gateways are many, one
+    /// waits until it would have met the engine anyway, and what goes well there once is enough.
+    fn trickle(&self) -> (Ms, Ms) {
+        let rate = self.taken.weight(self.now, LONG_HALF) * std::f64::consts::LN_2 / LONG_HALF;
+        match self.blind() {
+            true => (TRICKLE.max(self.engines.len() as f64 / rate), TRICKLE),
+            false => (TRICKLE, TRICKLE / 5.0),
+        }
+    }
+
+    /// Whether engines can be asked how they are.
+    fn told(&self) -> bool {
+        self.m.may_probe && self.m.reports.iter().any(|r| *r != Load::Other)
+    }
+
+    /// Crowded, and engines tell nothing: an engine is met so seldom that its last outcome must do.
+    fn blind(&self) -> bool {
+        self.crowded() && !self.told()
+    }
+
     /// Bands whose queries are much wider than the narrowest band's, where engines can be asked how they
     /// are. Among few gateways own paces tell more than reports that lag.
     fn wide(&self, b: usize) -> bool {
-        self.m.may_probe
-            && self.crowded()
-            && self.m.reports.iter().any(|r| *r != Load::Other)
+        self.crowded()
+            && self.told()
             && (0..self.bands.len()).any(|o| self.usual_work(b) > 4.0 * self.usual_work(o))
     }
 
