--- a/src/logic.rs
+++ b/src/logic.rs
@@ -743,7 +743,7 @@
     // Against hundreds of gateways that each run one on every engine: the even shares of all engines together
     // bound those, or what the work settled lately would occupy where that is more: traffic is unequal.
     fn fleet_room(&self) -> bool {
-        let busy: f64 = self.engines.iter().map(|e| e.busy()).sum();
+        let busy: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.busy()).sum();
         let settled = self.settled.weight(self.now, SETTLED_HALF) * std::f64::consts::LN_2 / SETTLED_HALF;
         busy < FACTOR * (self.cores() / self.m.gateways).max(settled)
     }
