--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,8 +22,6 @@
 const STRAINED: f64 = 1.6;
 /// Half-life of measured paces: long enough to remember a jam between looks, short against a trouble.
 const HALF: Ms = 2000.0;
-/// Half-life of the work settled: some reports' time, so that one settled does not swing it.
-const SETTLED_HALF: Ms = 5000.0;
 /// Half-life of means that describe a band's work, which hardly changes.
 const LONG_HALF: Ms = 20_000.0;
 /// Usual submissions of late from which on a pace can stand as the best.
@@ -203,7 +201,6 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
-    settled: Fade,
     taken: Fade,
     probes: f64,
     learnt: Ms,
@@ -338,7 +335,6 @@
                     e.fine[b] = e.fine[b].max(fwd.sent);
                     e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, trickle);
                 }
-                self.settled.add(now, SETTLED_HALF, 0.0, work);
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
             Outcome::Full => {
@@ -731,8 +727,7 @@
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(engine);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
-        let fits =
-            e.running == 0 && self.fleet_room() || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let fits = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
@@ -740,14 +735,6 @@
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
-    // Against hundreds of gateways that each run one on every engine: the even shares of all engines together
-    // bound those, or what the work settled lately would occupy where that is more: traffic is unequal.
-    fn fleet_room(&self) -> bool {
-        let busy: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.busy()).sum();
-        let settled = self.settled.weight(self.now, SETTLED_HALF) * std::f64::consts::LN_2 / SETTLED_HALF;
-        busy < FACTOR * (self.cores() / self.m.gateways).max(settled)
-    }
-
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
     fn cold_room(&self, e: &Engine, b: usize) -> bool {
         let (m, age) = (&self.m, self.now - e.listed.since);
