--- a/src/logic.rs
+++ b/src/logic.rs
@@ -105,8 +105,6 @@
     cores: f64,
     threads: f64,
     running: u32,
-    /// Threads of forwards that timed out here and may still be at it, and until when.
-    ghosts: Vec<(Ms, f64)>,
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
@@ -132,9 +130,6 @@
     fn failures(&self) -> u32 {
         self.record.count_ones()
     }
-    fn busy(&self) -> f64 {
-        self.threads + self.ghosts.iter().map(|g| g.1).sum::<f64>()
-    }
     fn judge(&mut self, now: Ms, well: bool, (trickle, enough): (Ms, Ms)) {
         self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
         self.seen = (self.seen + 1).min(RECORD);
@@ -209,12 +204,11 @@
     note_after: Ms,
 }
 
-const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 9] = [
+const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 8] = [
     Gateway::ask_for_the_roster,
     Gateway::answer_at_the_hard_limit,
     Gateway::count_the_overdue,
     Gateway::set_aside,
-    Gateway::call_back,
     Gateway::probe,
     Gateway::release,
     Gateway::turn_back,
@@ -243,7 +237,6 @@
                 e.pace = vec![Fade::default(); self.m.bands.len()];
                 e.fine = vec![0.0; self.m.bands.len()];
                 (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
-                e.ghosts.clear();
             }
             e.listed = *line;
         }
@@ -325,7 +318,6 @@
         let (work, open, in_time) = (s.work, s.open, now <= s.aim);
         let (trickle, blind) = (self.trickle(), self.blind());
         let usual = self.service(b, work);
-        let expected = usual * self.stretch(fwd.engine);
         let e = &mut self.engines[fwd.engine];
         (e.threads, e.running) = (e.threads - if fwd.lost { 0.0 } else { threads }, e.running - 1);
         match what {
@@ -342,10 +334,6 @@
                 e.full_until = now + e.full_rest;
             }
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, trickle),
-            // Where a time-out stops nothing, the threads stay busy; the bound must know.
-            Outcome::TimedOut if !self.m.may_withdraw && !fwd.lost => {
-                e.ghosts.push((fwd.sent + (expected * 2.0).max(elapsed * 1.5), threads));
-            }
             _ => {}
         }
         match closed || !open {
@@ -389,7 +377,6 @@
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
-        self.engines.iter_mut().for_each(|e| e.ghosts.retain(|g| g.0 > now));
         self.learn_paces();
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
@@ -463,20 +450,6 @@
         true
     }
 
-    // Against work left on an engine that was set aside, where withdrawing frees it to go elsewhere.
-    fn call_back(&mut self, out: &mut dyn Outlet) -> bool {
-        let stuck = |&&i: &&usize| {
-            let s = &self.subs[i];
-            s.out.is_some_and(|f| f.overdue && !f.withdrawn && self.engines[f.engine].aside.is_some())
-                && self.now + self.service(s.of.band, s.work) < s.limit
-                && self.rationed()
-                && self.may_forward_again(s)
-                && self.m.bands[s.of.band].repeat == Repeat::Repeatable
-        };
-        let found = self.flying.iter().filter(|_| self.m.may_withdraw).find(stuck).copied();
-        found.map(|sub| self.recall(sub, out)).is_some()
-    }
-
     // Against wide queries that hundreds of gateways send where the others' already run: each engine in the
     // order is asked, two at a time, until one has room.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
@@ -727,7 +700,7 @@
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(engine);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
-        let fits = e.running == 0 || e.busy() < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let fits = e.running == 0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
@@ -784,7 +757,7 @@
         order.retain(|&i| last(i) == best || best == 3);
         let crowded = self.crowded();
         let told = |e: &Engine| e.reported(self.now).map_or(0.0, |r| r.1);
-        let load = |i: usize| self.engines[i].busy() / self.engines[i].cores + told(&self.engines[i]);
+        let load = |i: usize| self.engines[i].threads / self.engines[i].cores + told(&self.engines[i]);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
