--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -4,7 +4,7 @@
 
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
-use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission, Word};
+use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 
@@ -217,14 +217,8 @@
                 let topic = f.u8("topic")?;
                 f.u8("attempt")?;
                 f.fixed::<6>("engine")?;
-                let word = match topic {
-                    1 => Word::Progress,
-                    2 => Word::Spills,
-                    3 => Word::Waits,
-                    _ => return Ok(()),
-                };
-                if let Some(s) = submissions.find(id) {
-                    gateway.progress(now, s, word, value, pen!());
+                if let Some(s) = submissions.find(id).filter(|_| topic == 1) {
+                    gateway.progress(now, s, value, pen!());
                 }
             }
             3 => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -148,10 +148,3 @@
     Withdrawn,
     Unsent,
 }
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    Progress,
-    Spills,
-    Waits,
-}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 //! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
 //! small indices by which submissions, engines and bands are known here.
 
-use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within, Word};
+use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Threads a core that all gateways together may keep busy on an engine under pressure. Half over the
@@ -40,11 +40,11 @@
 const TRICKLE: Ms = 1000.0;
 /// After a full answer nothing goes there for this long, twice as long after each further one.
 const FULL_REST: Ms = 100.0;
-/// An engine's report holds this long, and an answer to a probe is awaited for so many ticks.
+/// An engine's report holds this long.
 const FRESH: Ms = 400.0;
-const AWAIT: f64 = 5.0;
-/// Probes for each submission taken, at most: each costs engines work.
+/// Probes for each submission taken, and the most at once: each costs engines work.
 const PROBES: f64 = 0.7;
+const AT_ONCE: f64 = 4.0;
 /// Wide queries enter by lot from this reported share of an engine up to all of it, where none does.
 const EASY: f64 = 0.7;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
@@ -115,9 +115,8 @@
     /// When set aside: when the next of the trickle may go, and the gap between them.
     aside: Option<(Ms, Ms)>,
     cold_sent: VecDeque<(Ms, f64)>,
-    /// When the engine last reported, and the largest share of it that was in use; when it was asked.
+    /// When the engine was asked or last reported, and the largest share of it that was in use.
     report: Option<(Ms, f64)>,
-    asked: Option<Ms>,
 }
 
 impl Engine {
@@ -201,7 +200,6 @@
     learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
-    note_after: Ms,
 }
 
 const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 8] = [
@@ -216,9 +214,10 @@
 ];
 
 impl Gateway {
-    pub fn new(m: Mandate, seed: u64) -> Self {
+    pub fn new(mut m: Mandate, seed: u64) -> Self {
         let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
+        m.may_probe &= m.reports.iter().any(|r| *r != Load::Other);
         Gateway { m, chance, bands, subscribe_at, ..Default::default() }
     }
 
@@ -282,7 +281,7 @@
         }
         self.taken.add(now, LONG_HALF, 0.0, 1.0);
         self.taken_at.push_back(now);
-        self.probes = (self.probes + PROBES).min(10.0);
+        self.probes = (self.probes + PROBES).min(AT_ONCE);
         self.settle(now, out);
     }
 
@@ -343,12 +342,12 @@
         self.settle(now, out);
     }
 
-    /// Word of a forward that is out; with `Progress`, the share done.
-    pub fn progress(&mut self, now: Ms, sub: usize, word: Word, value: f64, out: &mut dyn Outlet) {
+    /// The share done of a forward that is out.
+    pub fn progress(&mut self, now: Ms, sub: usize, share: f64, out: &mut dyn Outlet) {
         let s = &mut self.subs[sub];
         let (b, work) = (s.of.band, s.work);
-        if let Some(f) = s.out.as_mut().filter(|_| word == Word::Progress) {
-            let (done, (then, before)) = (value.max(f.counted.1).min(1.0), f.counted);
+        if let Some(f) = s.out.as_mut() {
+            let (done, (then, before)) = (share.max(f.counted.1).min(1.0), f.counted);
             let engine = f.engine;
             f.counted = (now, done);
             self.now = now;
@@ -450,33 +449,16 @@
         true
     }
 
-    // Against wide queries that hundreds of gateways send where the others' already run: each engine in the
-    // order is asked, two at a time, until one has room.
+    // Against wide queries that hundreds of gateways send where the others' already run: engines are asked
+    // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
-        for b in (0..self.bands.len()).filter(|&b| self.wide(b)) {
+        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.wide(b)) {
             let Some(sub) = self.first_in(b) else { continue };
-            let s = &self.subs[sub];
-            let (mut pending, mut ask) = (0, None);
-            for i in self.order(s) {
-                let e = &self.engines[i];
-                match (e.reported(self.now), e.asked) {
-                    (Some(r), _) if self.enters(s, e, r) => break,
-                    (Some(_), _) => continue,
-                    (None, Some(t)) if self.now - t < FRESH => {
-                        pending += (self.now - t < AWAIT * self.m.tick) as u32
-                    }
-                    _ => {
-                        ask = Some(i);
-                        break;
-                    }
-                }
-                if pending == 2 {
-                    break;
-                }
-            }
-            if let Some(i) = ask.filter(|_| self.probes >= 1.0) {
+            let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
+            let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
+            if let Some(i) = self.order(s).into_iter().take_while(full).find(|i| known(i).is_none()) {
                 self.probes -= 1.0;
-                self.engines[i].asked = Some(self.now);
+                self.engines[i].report = Some((self.now, 1.0));
                 out.probe(i);
                 return true;
             }
@@ -494,10 +476,6 @@
                 self.forward(sub, engine, out);
                 return true;
             }
-            if self.now > self.note_after {
-                self.note_after = self.now + 5000.0;
-                out.note(&format!("bound holds: band {b} waits, {} in line", self.bands[b].line.len()));
-            }
         }
         false
     }
@@ -669,22 +647,18 @@
         }
     }
 
-    /// Whether engines can be asked how they are.
-    fn told(&self) -> bool {
-        self.m.may_probe && self.m.reports.iter().any(|r| *r != Load::Other)
-    }
-
     /// Crowded, and engines tell nothing: an engine is met so seldom that its last outcome must do.
     fn blind(&self) -> bool {
-        self.crowded() && !self.told()
+        self.crowded() && !self.m.may_probe
     }
 
-    /// Bands whose queries are much wider than the narrowest band's, where engines can be asked how they
-    /// are. Among few gateways own paces tell more than reports that lag.
+    /// Bands for whose queries engines are asked: among few gateways own paces tell more than late reports.
     fn wide(&self, b: usize) -> bool {
-        self.crowded()
-            && self.told()
-            && (0..self.bands.len()).any(|o| self.usual_work(b) > 4.0 * self.usual_work(o))
+        self.crowded() && self.m.may_probe && self.usual_work(b) > self.smallest()
+    }
+
+    fn smallest(&self) -> Ms {
+        (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min)
     }
 
     // By lot, the fuller the less: all gateways see the same report, and would all come or all stay away.
@@ -746,9 +720,8 @@
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
         let mut order = self.order(s);
-        let small = (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min);
         let due = |i: &usize| self.engines[*i].aside.is_some_and(|a| a.0 <= self.now);
-        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && s.work <= 1.5 * small) {
+        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && s.work <= 1.5 * self.smallest()) {
             return Some(*i);
         }
         // What was tried already comes last but for what is set aside.
@@ -829,8 +802,12 @@
         let s = &mut self.subs[sub];
         s.open = false;
         self.bands[s.of.band].line.retain(|&i| i != sub);
-        if s.out.is_some() {
-            return self.recall(sub, out);
+        if let Some(f) = s.out.as_mut() {
+            if self.m.may_withdraw && !f.withdrawn {
+                f.withdrawn = true;
+                out.withdraw(sub, s.forwards.saturating_sub(1));
+            }
+            return;
         }
         if self.keyed(sub) {
             self.keys.entry(self.subs[sub].of.key).or_default().0.retain(|&i| i != sub);
@@ -838,12 +815,4 @@
         }
         out.forget(sub);
     }
-
-    fn recall(&mut self, sub: usize, out: &mut dyn Outlet) {
-        let s = &mut self.subs[sub];
-        if let Some(f) = s.out.as_mut().filter(|f| self.m.may_withdraw && !f.withdrawn) {
-            f.withdrawn = true;
-            out.withdraw(sub, s.forwards.saturating_sub(1));
-        }
-    }
 }
