--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,7 +44,7 @@
 const FRESH: Ms = 400.0;
 /// Probes for each submission taken, and the most at once: each costs engines work.
 const PROBES: f64 = 0.7;
-const AT_ONCE: f64 = 4.0;
+const AT_ONCE: f64 = 10.0;
 /// Wide queries enter by lot from this reported share of an engine up to all of it, where none does.
 const EASY: f64 = 0.7;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
