--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,8 +38,8 @@
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
 const TRICKLE: Ms = 1000.0;
-/// After a full answer nothing goes there for this long, twice as long after each further one.
-const FULL_REST: Ms = 100.0;
+/// After a full answer nothing goes there for this long.
+const FULL_REST: Ms = 500.0;
 /// An engine's report holds this long.
 const FRESH: Ms = 400.0;
 /// Probes for each submission taken, and the most at once: each costs engines work.
@@ -83,9 +83,6 @@
         self.0 = s.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32) as u64
     }
-    fn unit(&mut self) -> f64 {
-        self.lot() as f64 / 4294967296.0
-    }
 }
 
 /// Spreads an engine id and a table group over 64 bits, alike at every gateway.
@@ -104,14 +101,10 @@
     listed: Listed,
     cores: f64,
     threads: f64,
-    running: u32,
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
-    /// By band, when the latest sent of those that were settled in time was sent.
-    fine: Vec<Ms>,
     full_until: Ms,
-    full_rest: Ms,
     /// When set aside: when the next of the trickle may go, and the gap between them.
     aside: Option<(Ms, Ms)>,
     cold_sent: VecDeque<(Ms, f64)>,
@@ -149,7 +142,6 @@
     /// Up to when, and to which share done, the engine's pace was counted.
     counted: (Ms, f64),
     overdue: bool,
-    lost: bool,
     withdrawn: bool,
 }
 
@@ -234,7 +226,6 @@
             if e.pace.is_empty() || e.listed.since != line.since {
                 e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
                 e.pace = vec![Fade::default(); self.m.bands.len()];
-                e.fine = vec![0.0; self.m.bands.len()];
                 (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
             }
             e.listed = *line;
@@ -245,7 +236,7 @@
     pub fn roster_lost(&mut self, now: Ms, out: &mut dyn Outlet) {
         if self.m.must_subscribe {
             // Not at once: all gateways lose the list together and would ask together.
-            self.subscribe_at = Some(now + 500.0 + 1000.0 * self.chance.unit());
+            self.subscribe_at = Some(now + 500.0 + (self.chance.lot() % 1000) as f64);
         }
         self.settle(now, out);
     }
@@ -318,20 +309,15 @@
         let (trickle, blind) = (self.trickle(), self.blind());
         let usual = self.service(b, work);
         let e = &mut self.engines[fwd.engine];
-        (e.threads, e.running) = (e.threads - if fwd.lost { 0.0 } else { threads }, e.running - 1);
+        e.threads -= threads;
         match what {
             Outcome::Settled(_) => {
-                e.full_rest = 0.0;
                 if !fwd.overdue {
-                    e.fine[b] = e.fine[b].max(fwd.sent);
                     e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, trickle);
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
-            Outcome::Full => {
-                e.full_rest = (e.full_rest * 2.0).clamp(FULL_REST, 30.0 * FULL_REST);
-                e.full_until = now + e.full_rest;
-            }
+            Outcome::Full => e.full_until = now + FULL_REST,
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, trickle),
             _ => {}
         }
@@ -344,14 +330,13 @@
 
     /// The share done of a forward that is out.
     pub fn progress(&mut self, now: Ms, sub: usize, share: f64, out: &mut dyn Outlet) {
+        self.now = now;
         let s = &mut self.subs[sub];
-        let (b, work) = (s.of.band, s.work);
         if let Some(f) = s.out.as_mut() {
             let (done, (then, before)) = (share.max(f.counted.1).min(1.0), f.counted);
-            let engine = f.engine;
             f.counted = (now, done);
-            self.now = now;
-            self.learn(engine, b, (now - then) * self.m.bands[b].threads, (done - before) * work);
+            let (engine, b, done) = (f.engine, s.of.band, (done - before) * s.work);
+            self.learn(engine, b, (now - then) * self.m.bands[b].threads, done);
         }
         self.settle(now, out);
     }
@@ -394,9 +379,8 @@
         found.is_some_and(|s| self.end(s, 0.0, out))
     }
 
-    // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing
-    // the expected time counts as one. Harm: a band whose expected time nobody can meet marks every
-    // engine alike, which `set_aside` lets pass since none is then worse than its peers.
+    // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
+    // expected time counts as one. Where nobody can meet that, no engine is worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
         let (trickle, blind) = (self.trickle(), self.blind());
         for n in 0..self.flying.len() {
@@ -407,26 +391,17 @@
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
             if self.now - f.sent > within(terms, s.work).min(slow) {
                 f.overdue = true;
-                let e = &mut self.engines[f.engine];
-                e.judge(self.now, false, trickle);
-                // Against answers that get lost: one sent in the later half of its time is settled, so this
-                // says nothing of the engine's pace, and holds no threads there.
-                f.lost = e.fine[b] > (f.sent + self.now) / 2.0;
-                if f.lost {
-                    e.threads -= terms.threads;
-                } else {
-                    let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
-                    f.counted.0 = self.now;
-                    self.learn(engine, b, spent, 0.0);
-                }
+                self.engines[f.engine].judge(self.now, false, trickle);
+                let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
+                f.counted.0 = self.now;
+                self.learn(engine, b, spent, 0.0);
             }
         }
         false
     }
 
-    // Against fast failures, silence, slowness and failed connects alike: an engine much worse than
-    // its peers by its last outcomes. When all worsen together, setting aside would only move the
-    // load, so the fleet's own share of failures counts and no more than half may be aside.
+    // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
+    // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
         let (least, gap) = (if self.blind() { LAST } else { BAD }, self.trickle().0);
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
@@ -674,7 +649,7 @@
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(engine);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
-        let fits = e.running == 0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
@@ -760,7 +735,7 @@
         self.further.retain(|&t| t >= now - span);
         self.taken_at.retain(|&t| t >= now - span);
         let (usual, e) = (self.usual_work(b), &mut self.engines[engine]);
-        (e.threads, e.running) = (e.threads + threads, e.running + 1);
+        e.threads += threads;
         e.cold_sent.push_back((now, usual));
         e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
         if let Some(a) = e.aside.as_mut() {
