--- a/src/logic.rs
+++ b/src/logic.rs
@@ -122,13 +122,13 @@
     fn failures(&self) -> u32 {
         self.record.count_ones()
     }
-    fn judge(&mut self, now: Ms, well: bool, (trickle, enough): (Ms, Ms)) {
+    fn judge(&mut self, now: Ms, well: bool, blind: bool) {
         self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
         self.seen = (self.seen + 1).min(RECORD);
         if let Some((next, gap)) = self.aside {
-            let gap = if well { gap / 2.0 } else { (gap * 2.0).min(trickle * 2.0) };
+            let gap = if well { gap / 2.0 } else { (gap * 2.0).min(gap.max(TRICKLE * 2.0)) };
             self.aside = Some((if well { next.min(now + gap) } else { now + gap }, gap));
-            if gap < enough {
+            if gap < TRICKLE / 5.0 || well && blind {
                 (self.aside, self.record, self.seen) = (None, 0, 0);
             }
         }
@@ -187,8 +187,11 @@
     keys: BTreeMap<u64, KeyLine>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
-    taken: Fade,
     probes: f64,
+    /// So many gateways that the even share of an engine is less than one of the widest queries; and engines
+    /// tell nothing either: each is met so seldom that its last outcome must do.
+    crowded: bool,
+    blind: bool,
     learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
@@ -210,7 +213,10 @@
         let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
         m.may_probe &= m.reports.iter().any(|r| *r != Load::Other);
-        Gateway { m, chance, bands, subscribe_at, ..Default::default() }
+        let widest = m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
+        let crowded = m.kinds.iter().all(|k| k.cores * FACTOR / m.gateways < widest);
+        let blind = crowded && !m.may_probe;
+        Gateway { m, chance, bands, subscribe_at, crowded, blind, ..Default::default() }
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
@@ -270,7 +276,6 @@
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
-        self.taken.add(now, LONG_HALF, 0.0, 1.0);
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(AT_ONCE);
         self.settle(now, out);
@@ -306,19 +311,19 @@
             s.work = work.max(1.0);
         }
         let (work, open, in_time) = (s.work, s.open, now <= s.aim);
-        let (trickle, blind) = (self.trickle(), self.blind());
+        let blind = self.blind;
         let usual = self.service(b, work);
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
         match what {
             Outcome::Settled(_) => {
                 if !fwd.overdue {
-                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, trickle);
+                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, blind);
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
             Outcome::Full => e.full_until = now + FULL_REST,
-            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, trickle),
+            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, blind),
             _ => {}
         }
         match closed || !open {
@@ -382,7 +387,7 @@
     // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
     // expected time counts as one. Where nobody can meet that, no engine is worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
-        let (trickle, blind) = (self.trickle(), self.blind());
+        let blind = self.blind;
         for n in 0..self.flying.len() {
             let s = &self.subs[self.flying[n]];
             let slow = if blind { SLOW * self.service(s.of.band, s.work) } else { f64::INFINITY };
@@ -391,7 +396,7 @@
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
             if self.now - f.sent > within(terms, s.work).min(slow) {
                 f.overdue = true;
-                self.engines[f.engine].judge(self.now, false, trickle);
+                self.engines[f.engine].judge(self.now, false, blind);
                 let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
                 f.counted.0 = self.now;
                 self.learn(engine, b, spent, 0.0);
@@ -403,7 +408,7 @@
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        let (least, gap) = (if self.blind() { LAST } else { BAD }, self.trickle().0);
+        let (least, gap) = if self.blind { (LAST, self.seldom()) } else { (BAD, TRICKLE) };
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         if (aside + 1) * 2 > n {
@@ -504,10 +509,8 @@
 
     /// Smallest work first among those that can still make their expected time.
     fn first_in(&self, b: usize) -> Option<usize> {
-        let rank = |i: usize| {
-            let s = &self.subs[i];
-            (self.now + self.service(b, s.work) > s.aim, s.work)
-        };
+        let late = |s: &Taken| self.now + self.service(b, s.work) > s.aim;
+        let rank = |i: usize| (late(&self.subs[i]), self.subs[i].work);
         let line = self.bands[b].line.iter().copied().filter(|&i| self.may_go(i));
         line.min_by(|&x, &y| rank(x).partial_cmp(&rank(y)).unwrap_or(std::cmp::Ordering::Equal))
     }
@@ -605,31 +608,15 @@
         (2.0 * self.cores() * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
-    /// So many gateways that the even share of an engine is less than one of the widest queries.
-    fn crowded(&self) -> bool {
-        let widest = self.m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
-        let engines = self.engines.iter().filter(|e| e.in_use()).count() as f64;
-        self.cores() * FACTOR / self.m.gateways < widest * engines
-    }
-
-    /// The first gap of the trickle, and the gap at which an engine is back. Where gateways are many, one
-    /// waits until it would have met the engine anyway, and what goes well there once is enough.
-    fn trickle(&self) -> (Ms, Ms) {
-        let rate = self.taken.weight(self.now, LONG_HALF) * std::f64::consts::LN_2 / LONG_HALF;
-        match self.blind() {
-            true => (TRICKLE.max(self.engines.len() as f64 / rate), TRICKLE),
-            false => (TRICKLE, TRICKLE / 5.0),
-        }
-    }
-
-    /// Crowded, and engines tell nothing: an engine is met so seldom that its last outcome must do.
-    fn blind(&self) -> bool {
-        self.crowded() && !self.m.may_probe
+    /// How long until this gateway would meet one engine again by its usual traffic.
+    fn seldom(&self) -> Ms {
+        let taken: f64 = self.bands.iter().map(|b| b.work.weight(self.now, LONG_HALF)).sum();
+        TRICKLE.max(self.engines.len() as f64 * LONG_HALF / taken)
     }
 
     /// Bands for whose queries engines are asked: among few gateways own paces tell more than late reports.
     fn wide(&self, b: usize) -> bool {
-        self.crowded() && self.m.may_probe && self.usual_work(b) > self.smallest()
+        self.crowded && self.m.may_probe && self.usual_work(b) > self.smallest()
     }
 
     fn smallest(&self) -> Ms {
@@ -686,7 +673,7 @@
     fn order(&self, s: &Taken) -> Vec<usize> {
         let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
         let mut order: Vec<usize> = able.collect();
-        order.sort_by_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
+        order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
         order
     }
 
@@ -703,13 +690,12 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let crowded = self.crowded();
         let told = |e: &Engine| e.reported(self.now).map_or(0.0, |r| r.1);
         let load = |i: usize| self.engines[i].threads / self.engines[i].cores + told(&self.engines[i]);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
-        let lot = |i: usize| if crowded { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
+        let lot = |i: usize| if self.crowded { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)).then(lot(x).cmp(&lot(y))))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
