--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,9 @@
 //! Every decision of one gateway, without input or output.
 //!
-//! How it is called: a host builds a [`Gateway`] from what it was told at start, then hands over each
-//! event by `roster`, `roster_lost`, `take`, `outcome`, `progress`, `left` or `due`. Each
-//! call notes what is new and then goes through `RULES` in order, from the top again after one that
-//! fired, until none does. Actions leave through [`Outlet`] at once. Equal calls give equal actions.
+//! How it is called: a host builds a [`Gateway`] from what it was told at start, then hands over each event
+//! by `roster`, `roster_lost`, `take`, `outcome`, `progress`, `report`, `left` or `due`. Each call notes what
+//! is new and then goes through `RULES` in order, from the top again after one that fired, until none does.
+//! Actions leave through [`Outlet`] at once. Equal calls give equal actions.
 //!
 //! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
 //! small indices by which submissions, engines and bands are known here.
@@ -24,16 +24,14 @@
 const HALF: Ms = 2000.0;
 /// Half-life of means that describe a band's work, which hardly changes.
 const LONG_HALF: Ms = 20_000.0;
-/// Usual submissions of late from which on a pace can stand as the best.
+/// Usual submissions from which on a pace can be the best, and that stand beside it at the best.
 const ENOUGH: f64 = 2.0;
-/// Usual submissions at the best pace that stand beside what was measured.
 const LEAN: f64 = 0.3;
 /// The best pace is held for twice as long after this time.
 const FORGOTTEN: Ms = 300_000.0;
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 5;
-const LAST: u32 = 1;
 /// This many times its peers' pace is a fault of the engine, not of its load.
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
@@ -169,12 +167,10 @@
     bias: Fade,
     fleet: Fade,
     best: f64,
+    learnt: Ms,
     longest_left: Ms,
 }
 
-/// Who waits for a key, in order, and until when it rests.
-type KeyLine = (VecDeque<usize>, Ms);
-
 #[derive(Default)]
 pub struct Gateway {
     m: Mandate,
@@ -184,7 +180,8 @@
     subs: Vec<Taken>,
     flying: Vec<usize>,
     bands: Vec<Band>,
-    keys: BTreeMap<u64, KeyLine>,
+    /// Who waits for a key, in order, and until when it rests.
+    keys: BTreeMap<u64, (VecDeque<usize>, Ms)>,
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     probes: f64,
@@ -192,7 +189,6 @@
     /// tell nothing either: each is met so seldom that its last outcome must do.
     crowded: bool,
     blind: bool,
-    learnt: Ms,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
 }
@@ -366,7 +362,6 @@
 
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
-        self.learn_paces();
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
 
@@ -408,7 +403,7 @@
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        let (least, gap) = if self.blind { (LAST, self.seldom()) } else { (BAD, TRICKLE) };
+        let (least, gap) = if self.blind { (1, self.seldom()) } else { (BAD, TRICKLE) };
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         if (aside + 1) * 2 > n {
@@ -432,7 +427,7 @@
     // Against wide queries that hundreds of gateways send where the others' already run: engines are asked
     // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
-        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.wide(b)) {
+        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks(b)) {
             let Some(sub) = self.first_in(b) else { continue };
             let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
             let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
@@ -518,7 +513,8 @@
     fn may_go(&self, sub: usize) -> bool {
         let s = &self.subs[sub];
         // Order per key, and rest after an outcome that leaves an engine perhaps still at it.
-        let turn = |k: &KeyLine| k.0.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.1);
+        let turn =
+            |k: &(VecDeque<usize>, Ms)| k.0.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.1);
         (s.forwards == 0 || self.rationed() && self.may_forward_again(s))
             && (!self.keyed(sub) || self.keys.get(&s.of.key).is_none_or(turn))
     }
@@ -546,9 +542,14 @@
     }
 
     fn learn(&mut self, engine: usize, b: usize, spent: Ms, done: Ms) {
-        for pace in [&mut self.engines[engine].pace[b], &mut self.bands[b].fleet] {
-            pace.add(self.now, HALF, spent, done);
-        }
+        let (now, usual) = (self.now, self.usual_work(b));
+        let (pace, band) = (&mut self.engines[engine].pace[b], &mut self.bands[b]);
+        pace.add(now, HALF, spent, done);
+        band.fleet.add(now, HALF, spent, done);
+        // A lucky second, or a guess of work since corrected, must not mean pressure for good.
+        let forgotten = band.best * 2f64.powf((now - band.learnt) / FORGOTTEN);
+        let best = pace.mean().filter(|_| pace.weight > ENOUGH * usual);
+        (band.best, band.learnt) = (best.map_or(forgotten, |p| p.min(forgotten)), now);
     }
 
     /// The pace of an engine in a band: time on its threads over work. It leans to the fleet's where little
@@ -568,44 +569,26 @@
     }
 
     /// Times the best pace at which this engine answers now; 1 when nothing is known.
-    fn stretch(&self, engine: usize) -> f64 {
-        let e = &self.engines[engine];
-        let (mut sum, mut weight) = (0.0, 0.0);
-        for (b, band) in self.bands.iter().enumerate().filter(|b| b.1.best.is_finite()) {
+    fn stretch(&self, e: &Engine) -> f64 {
+        let known = self.bands.iter().enumerate().filter(|b| b.1.best.is_finite());
+        let (sum, weight) = known.fold((0.0, 0.0), |(sum, weight), (b, band)| {
             let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b) + LEAN;
-            sum += w * self.pace(e, b) / band.best;
-            weight += w;
-        }
+            (sum + w * self.pace(e, b) / band.best, weight + w)
+        });
         // Without a measure the sum is no number, and `max` drops it.
         (sum / weight).max(1.0)
     }
 
-    // Once a moment: thousands may come in one batch, and all engines are too many for each to ask.
-    fn learn_paces(&mut self) {
-        for b in (0..self.bands.len()).filter(|_| self.now > self.learnt) {
-            let enough = |e: &&Engine| e.pace[b].weight(self.now, HALF) > ENOUGH * self.usual_work(b);
-            let in_use = || self.engines.iter().filter(|e| e.in_use());
-            // A lucky second, or a guess of work since corrected, must not mean pressure for good.
-            let forgotten = self.bands[b].best * 2f64.powf((self.now - self.learnt) / FORGOTTEN);
-            self.bands[b].best =
-                in_use().filter(enough).filter_map(|e| e.pace[b].mean()).fold(forgotten, f64::min);
-        }
-        self.learnt = self.now;
-    }
-
     /// How long a submission would take now at the fleet's pace.
     fn service(&self, b: usize, work: Ms) -> Ms {
         work / self.m.bands[b].threads * self.fleet_pace(b)
     }
 
-    fn cores(&self) -> f64 {
-        self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum()
-    }
-
     /// A line longer than this gateway's share of the fleet can work off in the expected time is full.
     fn room(&self, b: usize) -> usize {
         let (terms, usual) = (&self.m.bands[b], self.usual_work(b));
-        (2.0 * self.cores() * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
+        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
+        (2.0 * cores * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
     /// How long until this gateway would meet one engine again by its usual traffic.
@@ -615,12 +598,12 @@
     }
 
     /// Bands for whose queries engines are asked: among few gateways own paces tell more than late reports.
-    fn wide(&self, b: usize) -> bool {
-        self.crowded && self.m.may_probe && self.usual_work(b) > self.smallest()
+    fn asks(&self, b: usize) -> bool {
+        self.crowded && !self.blind && self.heavy(b)
     }
 
-    fn smallest(&self) -> Ms {
-        (0..self.bands.len()).map(|b| self.usual_work(b)).fold(f64::INFINITY, f64::min)
+    fn heavy(&self, b: usize) -> bool {
+        (0..self.bands.len()).any(|o| self.usual_work(o) < self.usual_work(b))
     }
 
     // By lot, the fuller the less: all gateways see the same report, and would all come or all stay away.
@@ -634,13 +617,13 @@
     fn open(&self, engine: usize, s: &Taken) -> bool {
         let (e, b) = (&self.engines[engine], s.of.band);
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
-        let stretch = self.stretch(engine);
+        let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
         // of them late. Under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let enters = !self.wide(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        let enters = !self.asks(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
@@ -683,7 +666,7 @@
         let s = &self.subs[sub];
         let mut order = self.order(s);
         let due = |i: &usize| self.engines[*i].aside.is_some_and(|a| a.0 <= self.now);
-        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && s.work <= 1.5 * self.smallest()) {
+        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && !self.heavy(s.of.band)) {
             return Some(*i);
         }
         // What was tried already comes last but for what is set aside.
