--- a/src/logic.rs
+++ b/src/logic.rs
@@ -157,6 +157,13 @@
     lot: u64,
 }
 
+impl Taken {
+    /// Drawn once for each submission and what is named: asked again, it gives no second chance.
+    fn chance(&self, of: u64) -> f64 {
+        mix(self.lot ^ of) as u32 as f64 / 4294967296.0
+    }
+}
+
 #[derive(Default)]
 struct Band {
     line: Vec<usize>,
@@ -608,8 +615,7 @@
 
     // By lot, the fuller the less: all gateways see the same report, and would all come or all stay away.
     fn enters(&self, s: &Taken, e: &Engine, (at, share): (Ms, f64)) -> bool {
-        let lot = mix(s.lot ^ e.listed.id ^ at.to_bits()) as u32 as f64 / 4294967296.0;
-        lot < (1.0 - share) / (1.0 - EASY)
+        s.chance(e.listed.id ^ at.to_bits()) < (1.0 - share) / (1.0 - EASY)
     }
 
     // The bound is asked before the submission's own threads: an even share may be smaller than one wide
@@ -627,16 +633,20 @@
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
-    // Against pushing over a cold engine: this gateway's even share of what all may send in any span.
-    fn cold_room(&self, e: &Engine, b: usize) -> bool {
-        let (m, age) = (&self.m, self.now - e.listed.since);
+    // Against pushing over a cold engine: this gateway's even share of what all may send in any span; where
+    // that is less than one submission, each goes by lot, so seldom that thrice the usual traffic is borne.
+    fn cold_room(&self, s: &Taken, e: &Engine) -> bool {
+        let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
         // Half of an even ramp is counted on: how an engine warms up is not told.
         let warm = m.cold_from + (1.0 - m.cold_from) * (age / m.warm_after).clamp(0.0, 1.0) / 2.0;
-        let capacity = 0.85 * e.cores * warm * m.fall_span;
-        let share = COLD_SHARE * m.fall_multiple * capacity / m.gateways;
-        let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - self.m.fall_span);
-        let sent = recent.map(|s| s.1).sum::<f64>() + self.usual_work(b);
-        e.listed.since <= 0.0 || age >= self.m.warm_after || sent <= share
+        let all = COLD_SHARE * m.fall_multiple * warm;
+        let share = all * 0.85 * e.cores * m.fall_span / m.gateways;
+        let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - m.fall_span);
+        let fits = recent.map(|s| s.1).sum::<f64>() + usual <= share;
+        e.listed.since <= 0.0
+            || age >= m.warm_after
+            || fits
+            || self.crowded && s.chance(e.listed.id) < all / 3.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
@@ -650,7 +660,7 @@
             && terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
             && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
             && line.standing == Standing::Ready
-            && self.cold_room(e, s.of.band)
+            && self.cold_room(s, e)
     }
 
     fn order(&self, s: &Taken) -> Vec<usize> {
