--- a/src/logic.rs
+++ b/src/logic.rs
@@ -634,7 +634,7 @@
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span; where
-    // that is less than one submission, each goes by lot, so seldom that thrice the usual traffic is borne.
+    // that is less than one submission, each goes by lot, so seldom that six times the usual traffic is borne.
     fn cold_room(&self, s: &Taken, e: &Engine) -> bool {
         let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
         // Half of an even ramp is counted on: how an engine warms up is not told.
@@ -646,7 +646,7 @@
         e.listed.since <= 0.0
             || age >= m.warm_after
             || fits
-            || self.crowded && s.chance(e.listed.id) < all / 3.0
+            || self.crowded && s.chance(e.listed.id) < all / 6.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
