After a full answer an engine rests until usual traffic would meet it again

Cause: half a second is less than the gap between two meetings of one engine among hundreds of gateways, so full engines stayed full. Harm: after a short spike an engine idles for seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -316,6 +316,8 @@
         let (work, open, in_time) = (s.work, s.open, now <= s.aim);
         let blind = self.blind;
         let usual = self.service(b, work);
+        // A full engine is jammed for seconds: among hundreds, resting less is not resting.
+        let rest = if self.crowded { self.seldom() } else { FULL_REST };
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
         match what {
@@ -325,7 +327,7 @@
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
-            Outcome::Full => e.full_until = now + FULL_REST,
+            Outcome::Full => e.full_until = now + rest,
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, blind),
             _ => {}
         }
