--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,8 @@
     CoresBusy,
     MemoryGranted,
     DisksBusy,
+    /// Queries held, running or in the engine's line.
+    Held,
     Other,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -353,7 +353,10 @@
 
     /// What an engine tells of itself, in the order that the mandate names; nothing when it does not answer.
     pub fn report(&mut self, now: Ms, engine: usize, values: &[f64], out: &mut dyn Outlet) {
-        let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other).map(|r| *r.1);
+        let cores = self.engines[engine].cores;
+        let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other);
+        // Cores can be idle while queries wait for memory in the engine's line: one held for each core is full.
+        let shares = shares.map(|(what, v)| if *what == Load::Held { v / cores } else { *v });
         if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
             self.engines[engine].report = Some((now, most));
         }
