--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,18 +1,14 @@
-//! Every decision of one gateway, without input or output.
-//!
-//! How it is called: a host builds a [`Gateway`] from what it was told at start, then hands over each event
-//! by `roster`, `roster_lost`, `take`, `outcome`, `progress`, `report`, `left` or `due`. Each call notes what
-//! is new and then goes through `RULES` in order, from the top again after one that fired, until none does.
-//! Actions leave through [`Outlet`] at once. Equal calls give equal actions.
-//!
+//! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`]
+//! from what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
+//! `progress`, `report`, `left` or `due`. Each call notes what is new and then goes through `RULES` in order,
+//! from the top again after one that fired, until none does. Actions leave through [`Outlet`] at once.
 //! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
 //! small indices by which submissions, engines and bands are known here.
 
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Threads a core that all gateways together may keep busy on an engine under pressure. Half over the
-/// design's start, since not all gateways are busy at once; fewer starve the busy, more only thrash.
+/// Threads a core that all gateways may keep busy on an engine under pressure: not all are busy at once.
 const FACTOR: f64 = 2.5;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
@@ -36,8 +32,6 @@
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
 const TRICKLE: Ms = 1000.0;
-/// After a full answer nothing goes there for this long.
-const FULL_REST: Ms = 500.0;
 /// An engine's report holds this long.
 const FRESH: Ms = 400.0;
 /// Probes for each submission taken, and the most at once: each costs engines work.
@@ -140,7 +134,6 @@
     /// Up to when, and to which share done, the engine's pace was counted.
     counted: (Ms, f64),
     overdue: bool,
-    withdrawn: bool,
 }
 
 #[derive(Default)]
@@ -265,8 +258,7 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        // A later try has spent as much of its expected time as it lacks of the longest time left seen.
-        // Against clients that merely have less patience: only where the try is marked as a later one.
+        // A later try, where marked, has spent what it lacks of the longest time left; others lack patience.
         band.longest_left = band.longest_left.max(of.left);
         let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
         let (aim, limit) = (now + within(terms, work) - spent, now + of.left);
@@ -313,11 +305,10 @@
             }
             s.work = work.max(1.0);
         }
-        let (work, open, in_time) = (s.work, s.open, now <= s.aim);
-        let blind = self.blind;
+        let (work, open, in_time, blind) = (s.work, s.open, now <= s.aim, self.blind);
         let usual = self.service(b, work);
-        // A full engine is jammed for seconds: among hundreds, resting less is not resting.
-        let rest = if self.crowded { self.seldom() } else { FULL_REST };
+        // Among hundreds of gateways, one that rests for less than it meets the engine does not rest.
+        let rest = self.seldom();
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
         match what {
@@ -355,7 +346,7 @@
     pub fn report(&mut self, now: Ms, engine: usize, values: &[f64], out: &mut dyn Outlet) {
         let cores = self.engines[engine].cores;
         let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other);
-        // Cores can be idle while queries wait for memory in the engine's line: one held for each core is full.
+        // Cores idle while queries wait for memory in the engine's line: one held for each core is full.
         let shares = shares.map(|(what, v)| if *what == Load::Held { v / cores } else { *v });
         if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
             self.engines[engine].report = Some((now, most));
@@ -606,7 +597,7 @@
     /// How long until this gateway would meet one engine again by its usual traffic.
     fn seldom(&self) -> Ms {
         let taken: f64 = self.bands.iter().map(|b| b.work.weight(self.now, LONG_HALF)).sum();
-        TRICKLE.max(self.engines.len() as f64 * LONG_HALF / taken)
+        (self.engines.len() as f64 * LONG_HALF / taken).clamp(TRICKLE, LONG_HALF)
     }
 
     /// Bands for whose queries engines are asked: among few gateways own paces tell more than late reports.
@@ -623,23 +614,21 @@
         s.chance(e.listed.id ^ at.to_bits()) < (1.0 - share) / (1.0 - EASY)
     }
 
-    // The bound is asked before the submission's own threads: an even share may be smaller than one wide
-    // query, and would be lost to it for good.
+    // The bound is asked before the submission's own threads: an even share may be less than one wide query.
     fn open(&self, engine: usize, s: &Taken) -> bool {
         let (e, b) = (&self.engines[engine], s.of.band);
         // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
-        // Against a jam that feeds itself: one query of each of many gateways keeps an engine jammed, all
-        // of them late. Under pressure nothing goes where it would miss its expected time.
+        // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let enters = !self.asks(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
-    // Against pushing over a cold engine: this gateway's even share of what all may send in any span; where
-    // that is less than one submission, each goes by lot, so seldom that six times the usual traffic is borne.
+    // Against pushing over a cold engine: this gateway's even share of what all may send in any span. Among
+    // hundreds that is less than one submission: they go by lot, and six times the usual traffic is borne.
     fn cold_room(&self, s: &Taken, e: &Engine) -> bool {
         let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
         // Half of an even ramp is counted on: how an engine warms up is not told.
@@ -761,10 +750,9 @@
         let s = &mut self.subs[sub];
         s.open = false;
         self.bands[s.of.band].line.retain(|&i| i != sub);
-        if let Some(f) = s.out.as_mut() {
-            if self.m.may_withdraw && !f.withdrawn {
-                f.withdrawn = true;
-                out.withdraw(sub, s.forwards.saturating_sub(1));
+        if s.out.is_some() {
+            if self.m.may_withdraw {
+                out.withdraw(sub, s.forwards - 1);
             }
             return;
         }
