--- a/src/lib.rs
+++ b/src/lib.rs
@@ -134,8 +134,6 @@
     pub work: Option<Ms>,
     pub memory_mb: f64,
     pub tables: u64,
-    /// Marked by its client as a later try.
-    pub later_try: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,13 +12,11 @@
 const FACTOR: f64 = 2.5;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
-/// Pressure: this many times the best pace seen. Below it, work shares an engine at little loss.
+/// Pressure: this many times the best pace; up to the second the bound narrows to the even share.
 const PRESSED: f64 = 1.2;
-/// From this stretch on the bound is the even share; from `PRESSED` up to it, it narrows to that.
 const STRAINED: f64 = 1.6;
-/// Half-life of measured paces: long enough to remember a jam between looks, short against a trouble.
+/// Half-lives of paces, long against looks and short against troubles, and of what hardly changes.
 const HALF: Ms = 2000.0;
-/// Half-life of means that describe a band's work, which hardly changes.
 const LONG_HALF: Ms = 20_000.0;
 /// Usual submissions from which on a pace can be the best, and that stand beside it at the best.
 const ENOUGH: f64 = 2.0;
@@ -168,7 +166,6 @@
     fleet: Fade,
     best: f64,
     learnt: Ms,
-    longest_left: Ms,
 }
 
 #[derive(Default)]
@@ -185,9 +182,9 @@
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     probes: f64,
-    /// So many gateways that the even share of an engine is less than one of the widest queries; and engines
-    /// tell nothing either: each is met so seldom that its last outcome must do.
+    /// The even share of an engine is less than a wide query: it is asked before one goes, or tells nothing.
     crowded: bool,
+    asks: bool,
     blind: bool,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
@@ -211,8 +208,8 @@
         m.may_probe &= m.reports.iter().any(|r| *r != Load::Other);
         let widest = m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
         let crowded = m.kinds.iter().all(|k| k.cores * FACTOR / m.gateways < widest);
-        let blind = crowded && !m.may_probe;
-        Gateway { m, chance, bands, subscribe_at, crowded, blind, ..Default::default() }
+        let (asks, blind) = (crowded && m.may_probe, crowded && !m.may_probe);
+        Gateway { m, chance, bands, subscribe_at, crowded, asks, blind, ..Default::default() }
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
@@ -236,10 +233,9 @@
     }
 
     pub fn roster_lost(&mut self, now: Ms, out: &mut dyn Outlet) {
-        if self.m.must_subscribe {
-            // Not at once: all gateways lose the list together and would ask together.
-            self.subscribe_at = Some(now + 500.0 + (self.chance.lot() % 1000) as f64);
-        }
+        // Not at once: all gateways lose the list together and would ask together.
+        let later = now + 500.0 + (self.chance.lot() % 1000) as f64;
+        self.subscribe_at = self.m.must_subscribe.then_some(later);
         self.settle(now, out);
     }
 
@@ -258,10 +254,7 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        // A later try, where marked, has spent what it lacks of the longest time left; others lack patience.
-        band.longest_left = band.longest_left.max(of.left);
-        let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
-        let (aim, limit) = (now + within(terms, work) - spent, now + of.left);
+        let (aim, limit) = (now + within(terms, work), now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
@@ -329,7 +322,6 @@
         self.settle(now, out);
     }
 
-    /// The share done of a forward that is out.
     pub fn progress(&mut self, now: Ms, sub: usize, share: f64, out: &mut dyn Outlet) {
         self.now = now;
         let s = &mut self.subs[sub];
@@ -368,8 +360,6 @@
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
 
-    // The rules, in order.
-
     fn ask_for_the_roster(&mut self, out: &mut dyn Outlet) -> bool {
         self.subscribe_at.take_if(|t| *t <= self.now).map(|_| out.subscribe()).is_some()
     }
@@ -413,11 +403,11 @@
             return false;
         }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
-        // Sums over ready engines only: what left the roster has a record too, and is not among them.
+        let share = |bad: u32, seen: u32| bad as f64 / seen.max(1) as f64;
         let worse = |e: &&mut Engine| {
-            let others = |e: &Engine| (bad - e.failures()) as f64 / (seen - e.seen).max(1) as f64;
-            let own = e.failures() as f64 / e.seen.max(1) as f64;
-            e.in_use() && e.failures() >= least && own > 2.0 * others(e)
+            e.in_use()
+                && e.failures() >= least
+                && share(e.failures(), e.seen) > 2.0 * share(bad - e.failures(), seen - e.seen)
         };
         let Some(e) = self.engines.iter_mut().filter(worse).max_by_key(|e| e.failures()) else {
             return false;
@@ -430,7 +420,7 @@
     // Against wide queries that hundreds of gateways send where the others' already run: engines are asked
     // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
-        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks(b)) {
+        for b in (0..self.bands.len()).filter(|&b| self.asks && self.probes >= 1.0 && self.heavy(b)) {
             let Some(sub) = self.first_in(b) else { continue };
             let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
             let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
@@ -483,8 +473,6 @@
         false
     }
 
-    // What the rules ask.
-
     /// Payoff for the work it takes; until that is known, payoff.
     fn weight(&self, b: usize) -> f64 {
         let known = self.bands.iter().all(|b| b.work.mean().is_some());
@@ -600,11 +588,6 @@
         (self.engines.len() as f64 * LONG_HALF / taken).clamp(TRICKLE, LONG_HALF)
     }
 
-    /// Bands for whose queries engines are asked: among few gateways own paces tell more than late reports.
-    fn asks(&self, b: usize) -> bool {
-        self.crowded && !self.blind && self.heavy(b)
-    }
-
     fn heavy(&self, b: usize) -> bool {
         (0..self.bands.len()).any(|o| self.usual_work(o) < self.usual_work(b))
     }
@@ -617,13 +600,13 @@
     // The bound is asked before the submission's own threads: an even share may be less than one wide query.
     fn open(&self, engine: usize, s: &Taken) -> bool {
         let (e, b) = (&self.engines[engine], s.of.band);
-        // Mild pressure leaves more than the even share, since not all gateways are busy at once.
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let enters = !self.asks(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        let enters =
+            !(self.asks && self.heavy(b)) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
@@ -677,8 +660,7 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let told = |e: &Engine| e.reported(self.now).map_or(0.0, |r| r.1);
-        let load = |i: usize| self.engines[i].threads / self.engines[i].cores + told(&self.engines[i]);
+        let load = |i: usize| self.engines[i].threads / self.engines[i].cores;
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
@@ -687,8 +669,6 @@
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
-    // What the rules do.
-
     fn forward(&mut self, sub: usize, engine: usize, out: &mut dyn Outlet) {
         let now = self.now;
         let s = &mut self.subs[sub];
@@ -701,9 +681,7 @@
         let band = &mut self.bands[b];
         band.line.retain(|&i| i != sub);
         (band.threads, band.started) = (band.threads + threads, band.started + threads * now);
-        if again {
-            self.further.push_back(now);
-        }
+        self.further.extend(again.then_some(now));
         let span = self.m.ration.map_or(0.0, |r| r.span);
         self.further.retain(|&t| t >= now - span);
         self.taken_at.retain(|&t| t >= now - span);
@@ -711,9 +689,7 @@
         e.threads += threads;
         e.cold_sent.push_back((now, usual));
         e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
-        if let Some(a) = e.aside.as_mut() {
-            a.0 = now + a.1;
-        }
+        e.aside = e.aside.map(|(_, gap)| (now + gap, gap));
         if !again && (self.m.priorities_heeded || self.m.grants_heeded) {
             let least = self.m.kinds.iter().map(|k| k.memory_mb).fold(f64::INFINITY, f64::min);
             let grant = if self.m.grants_heeded { memory * GRANT } else { 0.0 };
