--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -236,7 +236,8 @@
                 if band >= *bands {
                     return Err(format!("class {band} is not among those of the start message"));
                 }
-                let of = Submission { band, key, left, work, memory_mb, tables };
+                let later_try = flags & 2 != 0;
+                let of = Submission { band, key, left, work, memory_mb, tables, later_try };
                 let s = submissions.admit(id);
                 gateway.take(now, s, of, pen!());
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -134,6 +134,8 @@
     pub work: Option<Ms>,
     pub memory_mb: f64,
     pub tables: u64,
+    /// Marked by its client as a later try.
+    pub later_try: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -165,6 +165,7 @@
     bias: Fade,
     fleet: Fade,
     best: f64,
+    longest_left: Ms,
     learnt: Ms,
 }
 
@@ -254,7 +255,10 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        let (aim, limit) = (now + within(terms, work), now + of.left);
+        // A later try, where marked, has spent what it lacks of the longest time left; others lack patience.
+        band.longest_left = band.longest_left.max(of.left);
+        let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
+        let (aim, limit) = (now + within(terms, work) - spent, now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
@@ -375,16 +379,13 @@
     // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
     // expected time counts as one. Where nobody can meet that, no engine is worse than its peers.
     fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
-        let blind = self.blind;
         for n in 0..self.flying.len() {
-            let s = &self.subs[self.flying[n]];
-            let slow = if blind { SLOW * self.service(s.of.band, s.work) } else { f64::INFINITY };
             let s = &mut self.subs[self.flying[n]];
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
-            if self.now - f.sent > within(terms, s.work).min(slow) {
+            if self.now - f.sent > within(terms, s.work) {
                 f.overdue = true;
-                self.engines[f.engine].judge(self.now, false, blind);
+                self.engines[f.engine].judge(self.now, false, self.blind);
                 let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
                 f.counted.0 = self.now;
                 self.learn(engine, b, spent, 0.0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,7 +110,7 @@
 }
 
 pub fn ask(band: usize, work: Ms) -> Submission {
-    Submission { band, key: 0, left: 3000.0, work: Some(work), memory_mb: 100.0, tables: 3 }
+    Submission { band, key: 0, left: 3000.0, work: Some(work), memory_mb: 100.0, tables: 3, later_try: false }
 }
 
 #[derive(Clone)]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -144,6 +144,22 @@
     assert!(sent.count() > 3, "the engine is back");
 }
 
+#[test]
+fn less_patience_is_no_earlier_try() {
+    let mut g = start(two_bands(), 1);
+    let mut now = press(&mut g, 0..8);
+    for i in 10..20 {
+        send(&mut g, now, i, ask(0, 100.0));
+    }
+    let short = Submission { left: 1000.0, ..ask(0, 100.0) };
+    let mut sheet = Sheet::default();
+    g.take(now, 20, short, &mut sheet);
+    now += 5.0;
+    g.take(now, 21, Submission { later_try: true, ..short }, &mut sheet);
+    assert!(!sheet.0.contains(&Act::TurnBack(20, 0.0)), "a first try with little time waits");
+    assert!(sheet.0.contains(&Act::TurnBack(21, 0.0)), "a later try has had its expected time");
+}
+
 #[test]
 fn half_the_engines_out_of_reach_are_all_set_aside() {
     let mut g = start(two_bands(), 4);
