--- a/src/logic.rs
+++ b/src/logic.rs
@@ -665,7 +665,7 @@
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
-        let lot = |i: usize| if self.crowded { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
+        let lot = |i: usize| if self.blind { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
         home.min_by(|&x, &y| load(x).total_cmp(&load(y)).then(lot(x).cmp(&lot(y))))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
