New engines by lot only where they are homes; tests with hundreds of gateways

Cause, found by a test of 300 gateways and 58 of 60 engines new at once: what others skip concentrates on whichever new engine lets it in, 1.6 times the limit of rule 4. Now the lot counts at an engine's home position only, at a quarter of the allowance.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -612,8 +612,8 @@
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span. Among
-    // hundreds that is less than one submission: they go by lot, and six times the usual traffic is borne.
-    fn cold_room(&self, s: &Taken, e: &Engine) -> bool {
+    // hundreds, less than one submission: by lot, at home only, so that four times the usual traffic is borne.
+    fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
         let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
         // Half of an even ramp is counted on: how an engine warms up is not told.
         let warm = m.cold_from + (1.0 - m.cold_from) * (age / m.warm_after).clamp(0.0, 1.0) / 2.0;
@@ -624,7 +624,7 @@
         e.listed.since <= 0.0
             || age >= m.warm_after
             || fits
-            || self.crowded && s.chance(e.listed.id) < all / 6.0
+            || home && self.crowded && s.chance(e.listed.id) < all / 4.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
@@ -638,14 +638,14 @@
             && terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
             && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
             && line.standing == Standing::Ready
-            && self.cold_room(s, e)
     }
 
     fn order(&self, s: &Taken) -> Vec<usize> {
         let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
         let mut order: Vec<usize> = able.collect();
         order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
-        order
+        let warm = |&(nth, i): &(usize, usize)| self.cold_room(s, &self.engines[i], nth < HOMES);
+        order.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
     }
 
     /// The shared order hashed from the table group; among its homes the one with the fewest own
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -188,3 +188,51 @@
     assert_eq!(sheet.forwards(), [], "it would keep a jammed engine jammed");
     assert!(sheet.0.contains(&Act::TurnBack(10, 0.0)), "given up at once");
 }
+
+// Rule 4 among hundreds: shares of less than one submission, traffic ten times as heavy at some, nearly all
+// engines new at once, and nobody told of the others.
+#[test]
+fn hundreds_of_gateways_do_not_push_over_new_engines() {
+    let m = Mandate { gateways: 300.0, ..two_bands() };
+    let limit = m.fall_multiple * m.cold_from * 0.85 * 8.0 * m.fall_span;
+    let mut fleet: Vec<Gateway> = (0..300).map(|seed| Gateway::new(m.clone(), seed)).collect();
+    let lines = (0..60).map(|e| Listed { since: if e < 58 { 1000.0 } else { 0.0 }, ..line(e) });
+    let lines: Vec<Listed> = lines.collect();
+    let mut sent = vec![0.0; 60];
+    for (n, g) in fleet.iter_mut().enumerate() {
+        g.roster(1000.0, true, &lines, &mut Sheet::default());
+        for i in 0..if n % 10 == 0 { 50 } else { 5 } {
+            let of = Submission { tables: (n + i) as u64 % 120, ..ask(0, 100.0) };
+            send(g, 1000.0 + i as f64, i, of).iter().for_each(|(_, e)| sent[*e] += 100.0);
+        }
+    }
+    let most = sent[..58].iter().copied().fold(0.0, f64::max);
+    assert!(most < limit && most > 0.0, "{most} of {limit}");
+}
+
+#[test]
+fn heavy_queries_ask_engines_first_where_own_paces_tell_too_little() {
+    let reports = vec![Load::CoresBusy, Load::Held];
+    let mut g = start(Mandate { gateways: 300.0, may_probe: true, reports, ..two_bands() }, 4);
+    (0..4).for_each(|i| drop(send(&mut g, 1.0, i, ask(0, 100.0))));
+    let mut sheet = Sheet::default();
+    g.take(2.0, 9, Submission { left: 20_000.0, ..ask(1, 4000.0) }, &mut sheet);
+    let asked = |s: &Sheet| s.0.iter().find_map(|a| if let Act::Probe(e) = a { Some(*e) } else { None });
+    let first = asked(&sheet).expect("an engine is asked");
+    assert_eq!(sheet.forwards(), [], "nothing goes before one told of room");
+    let mut sheet = Sheet::default();
+    g.report(3.0, first, &[0.4, 16.0], &mut sheet);
+    assert_eq!(sheet.forwards(), [], "idle cores, but two queries held for each: a line for memory");
+    g.report(4.0, first, &[0.4, 2.0], &mut sheet);
+    assert_eq!(sheet.forwards(), [(9, first)]);
+}
+
+#[test]
+fn where_engines_tell_nothing_the_last_outcome_judges() {
+    let mut g = start(Mandate { gateways: 300.0, ..two_bands() }, 4);
+    let bad = send(&mut g, 1.0, 0, ask(0, 100.0))[0].1;
+    let mut sheet = Sheet::default();
+    g.outcome(11.0, 0, Outcome::Error, true, &mut sheet);
+    let after: Vec<usize> = (1..9).map(|i| send(&mut g, 12.0, i, ask(0, 100.0))[0].1).collect();
+    assert!(!after.contains(&bad), "{after:?}");
+}
