--- a/src/logic.rs
+++ b/src/logic.rs
@@ -612,7 +612,7 @@
     }
 
     // Against pushing over a cold engine: this gateway's even share of what all may send in any span. Among
-    // hundreds, less than one submission: by lot, at home only, so that four times the usual traffic is borne.
+    // hundreds, less than one submission: by lot, at home only, so that six times the usual traffic is borne.
     fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
         let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
         // Half of an even ramp is counted on: how an engine warms up is not told.
@@ -624,7 +624,7 @@
         e.listed.since <= 0.0
             || age >= m.warm_after
             || fits
-            || home && self.crowded && s.chance(e.listed.id) < all / 4.0
+            || home && self.crowded && s.chance(e.listed.id) < all / 6.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
