--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -50,6 +50,14 @@
     }
 }
 
+macro_rules! breaks {
+    ($when:expr, $rule:expr) => {
+        if $when {
+            return Err($rule.into());
+        }
+    };
+}
+
 pub fn band(payoff: f64, threads: f64, repeat: Repeat) -> Terms {
     Terms {
         expected: 500.0,
@@ -133,6 +141,7 @@
 }
 
 /// Keeps everything it ever saw and looks through all of it for each action.
+#[derive(Default)]
 pub struct Referee {
     pub m: Mandate,
     pub held: Vec<Held>,
@@ -142,11 +151,6 @@
 }
 
 impl Referee {
-    pub fn new(m: Mandate) -> Self {
-        let (at, roster, off_since) = Default::default();
-        Referee { m, held: Vec::new(), at, roster, off_since }
-    }
-
     pub fn told(&mut self, now: Ms, lines: &[Listed]) {
         for l in lines {
             self.roster.insert(l.engine, *l);
@@ -174,22 +178,13 @@
             Act::Forward(slot, engine) => self.forward(now, self.at[slot], *engine),
             Act::TurnBack(slot, _) | Act::Scrap(slot) => {
                 let h = &self.held[self.at[slot]];
-                let ran: Vec<&Try> = h.tries.iter().filter(|t| t.may_have_run()).collect();
-                let ok = match self.m.bands[h.of.band].repeat {
-                    Repeat::Repeatable | Repeat::Tagged(Within::All) => true,
-                    _ => ran.is_empty(),
-                };
-                if h.over {
-                    return Err("1: two final answers".into());
-                }
-                if now > h.taken + h.of.left {
-                    return Err("1: answer after the hard limit".into());
-                }
-                if matches!(act, Act::TurnBack(..)) && !ok {
-                    return Err("2: turned back though it may have run".into());
-                }
-                let i = self.at[slot];
-                self.held[i].over = true;
+                let again = [Repeat::Repeatable, Repeat::Tagged(Within::All)];
+                let ok = again.contains(&self.m.bands[h.of.band].repeat)
+                    || !h.tries.iter().any(|t| t.may_have_run());
+                breaks!(h.over, "1: two final answers");
+                breaks!(now > h.taken + h.of.left, "1: answer after the hard limit");
+                breaks!(matches!(act, Act::TurnBack(..)) && !ok, "2: turned back though it may have run");
+                self.held[self.at[slot]].over = true;
                 Ok(())
             }
             _ => Ok(()),
@@ -199,12 +194,8 @@
     fn forward(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
         let (h, line) = (&self.held[i], self.roster[&engine]);
         let terms = &self.m.bands[h.of.band];
-        if h.over || now > h.taken + h.of.left {
-            return Err("1: sent after the end".into());
-        }
-        if h.tries.iter().any(|t| t.end.is_none()) {
-            return Err("2: two forwards out".into());
-        }
+        breaks!(h.over || now > h.taken + h.of.left, "1: sent after the end");
+        breaks!(h.tries.iter().any(|t| t.end.is_none()), "2: two forwards out");
         for ran in h.tries.iter().filter(|t| t.may_have_run()) {
             let other = self.roster[&ran.engine];
             let same = match terms.repeat {
@@ -214,13 +205,9 @@
                 Repeat::Tagged(Within::Zone) => other.zone == line.zone,
                 Repeat::Tagged(Within::Cell) => other.cell == line.cell,
             };
-            if !same || now > ran.sent + terms.window {
-                return Err("2: tagged outside its group or window".into());
-            }
-        }
-        if self.off_since.get(&engine).is_some_and(|t| now > *t) {
-            return Err("3: sent to a draining or gone engine".into());
+            breaks!(!same || now > ran.sent + terms.window, "2: tagged outside its group or window");
         }
+        breaks!(self.off_since.get(&engine).is_some_and(|t| now > *t), "3: to an engine that is off");
         let tries = || self.held.iter().flat_map(|h| h.tries.iter().map(move |t| (h, t)));
         let usual = |h: &Held| h.of.work.unwrap_or(0.0);
         if line.since > 0.0 && now < line.since + self.m.warm_after {
@@ -229,9 +216,7 @@
             let cores = self.m.kinds[line.kind as usize].cores;
             let all = self.m.fall_multiple * self.m.cold_from * cores * self.m.fall_span;
             // Among hundreds the share is less than one submission: a test of its own adds them up.
-            if self.m.gateways < 100.0 && sent > all / self.m.gateways {
-                return Err("4: more than a cold engine's share".into());
-            }
+            breaks!(self.m.gateways < 100.0 && sent > all / self.m.gateways, "4: over a cold share");
         }
         if terms.in_order && h.of.key != 0 {
             let same = |o: &&Held| self.m.bands[o.of.band].in_order && o.of.key == h.of.key;
@@ -243,22 +228,16 @@
                     }
                     _ => false,
                 };
-                if !o.over || o.tries.iter().any(doubt) {
-                    return Err("5: out of order".into());
-                }
+                breaks!(!o.over || o.tries.iter().any(doubt), "5: out of order");
             }
         }
         let zone = terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone));
-        if !zone || terms.kinds.as_ref().is_some_and(|k| !k.contains(&line.kind)) {
-            return Err("6: outside its placement".into());
-        }
+        breaks!(!zone || terms.kinds.as_ref().is_some_and(|k| !k.contains(&line.kind)), "6: out of place");
         if let (Some(r), false) = (self.m.ration, h.tries.is_empty()) {
             let counts = |t: &Try| t.end.is_none_or(|e| e.1 != Outcome::Unsent) && t.sent >= now - r.span;
             let further = self.held.iter().flat_map(|h| h.tries.iter().skip(1)).filter(|t| counts(t)).count();
             let taken = self.held.iter().filter(|h| h.taken > now - r.span).count();
-            if further as f64 + 1.0 > r.spare + r.share * taken as f64 {
-                return Err("7: over the budget".into());
-            }
+            breaks!(further as f64 + 1.0 > r.spare + r.share * taken as f64, "7: over the budget");
         }
         self.held[i].tries.push(Try { engine, sent: now, end: None });
         Ok(())
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -75,9 +75,7 @@
 
 #[test]
 fn idle_time_is_not_banked() {
-    let mut m = two_bands();
-    m.bands = vec![band(1.0, 1.0, Repeat::Repeatable), band(1.0, 1.0, Repeat::Repeatable)];
-    let mut g = start(m, 1);
+    let mut g = start(mandate(vec![band(1.0, 1.0, Repeat::Repeatable); 2]), 1);
     let now = press(&mut g, 0..8);
     for i in 10..26 {
         send(&mut g, now, i, ask(i % 2, 100.0));
@@ -151,18 +149,6 @@
     assert!(back > 3, "the engine is back");
 }
 
-#[test]
-fn less_patience_is_no_earlier_try() {
-    let mut g = start(two_bands(), 1);
-    let now = press(&mut g, 0..8);
-    (10..20).for_each(|i| drop(send(&mut g, now, i, ask(0, 100.0))));
-    let (short, mut sheet) = (Submission { left: 1000.0, ..ask(0, 100.0) }, Sheet::default());
-    g.take(now, 20, short, &mut sheet);
-    g.take(now + 5.0, 21, Submission { later_try: true, ..short }, &mut sheet);
-    assert!(!sheet.0.contains(&Act::TurnBack(20, 0.0)), "a first try with little time waits");
-    assert!(sheet.0.contains(&Act::TurnBack(21, 0.0)), "a later try has had its expected time");
-}
-
 #[test]
 fn half_the_engines_out_of_reach_are_all_set_aside() {
     let (mut g, mut now, mut late) = (start(two_bands(), 4), 1.0, 0);
@@ -174,14 +160,18 @@
 }
 
 #[test]
-fn under_pressure_nothing_goes_where_it_would_miss_its_expected_time() {
+fn what_cannot_make_its_expected_time_under_pressure_is_given_up_at_once() {
     let mut g = start(two_bands(), 1);
-    let now = press(&mut g, 0..8);
-    let late = Submission { left: 600.0, ..ask(0, 2000.0) };
-    let mut sheet = Sheet::default();
-    g.take(now, 10, late, &mut sheet);
+    let (now, mut sheet) = (press(&mut g, 0..8), Sheet::default());
+    g.take(now, 9, Submission { left: 600.0, ..ask(0, 2000.0) }, &mut sheet);
     assert_eq!(sheet.forwards(), [], "it would keep a jammed engine jammed");
-    assert!(sheet.0.contains(&Act::TurnBack(10, 0.0)), "given up at once");
+    assert!(sheet.0.contains(&Act::TurnBack(9, 0.0)), "given up at once");
+    (10..20).for_each(|i| drop(send(&mut g, now, i, ask(0, 100.0))));
+    let short = Submission { left: 1000.0, ..ask(0, 100.0) };
+    g.take(now, 20, short, &mut sheet);
+    g.take(now + 5.0, 21, Submission { later_try: true, ..short }, &mut sheet);
+    assert!(!sheet.0.contains(&Act::TurnBack(20, 0.0)), "a first try with little time waits");
+    assert!(sheet.0.contains(&Act::TurnBack(21, 0.0)), "a later try has had its expected time");
 }
 
 // Rule 4 among hundreds: shares of less than one submission, traffic ten times as heavy at some, nearly all
@@ -191,8 +181,8 @@
     let m = Mandate { gateways: 300.0, ..two_bands() };
     let limit = m.fall_multiple * m.cold_from * 0.85 * 8.0 * m.fall_span;
     let mut fleet: Vec<Gateway> = (0..300).map(|seed| Gateway::new(m.clone(), seed)).collect();
-    let lines = (0..60).map(|e| Listed { since: if e < 58 { 1000.0 } else { 0.0 }, ..line(e) });
-    let lines: Vec<Listed> = lines.collect();
+    let since = |e| if e < 58 { 1000.0 } else { 0.0 };
+    let lines: Vec<Listed> = (0..60).map(|e| Listed { since: since(e), ..line(e) }).collect();
     let mut sent = vec![0.0; 60];
     for (n, g) in fleet.iter_mut().enumerate() {
         g.roster(1000.0, true, &lines, &mut Sheet::default());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -23,8 +23,8 @@
 impl Play {
     fn new(m: Mandate) -> Self {
         let gateway = Gateway::new(m.clone(), 7);
-        let mut play =
-            Play { now: 1000.0, gateway, referee: Referee::new(m), out: vec![], free: vec![], next: 0 };
+        let referee = Referee { m, ..Default::default() };
+        let mut play = Play { now: 1000.0, gateway, referee, out: vec![], free: vec![], next: 0 };
         let lines: Vec<Listed> = (0..6).map(line).collect();
         play.roster(&lines).expect("a roster asks for nothing");
         play
@@ -138,7 +138,7 @@
         ("7", &[(0, Act::Forward(0, 0)), (3, fwd(1)), (3, fwd(2)), (3, fwd(4)), (3, fwd(5))]),
     ];
     for (rule, acts) in cases {
-        let mut referee = Referee::new(motley());
+        let mut referee = Referee { m: motley(), ..Default::default() };
         referee.told(0.0, &(0..6).map(line).collect::<Vec<_>>());
         let mut broken = Ok(());
         for (i, (event, act)) in acts.iter().enumerate() {
