--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,6 @@
 };
 use std::collections::BTreeMap;
 
-/// What the module asked for; what no test looks into keeps its name alone.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
     Forward(usize, usize),
@@ -90,7 +89,6 @@
     }
 }
 
-/// Terms of every sort that the rules tell apart.
 pub fn motley() -> Mandate {
     let tagged = |within| band(2.0, 1.0, Repeat::Tagged(within));
     let mut m = mandate(vec![
