Read once more: one place for who is asked, gaps and cold sums only where needed

The condition for asking engines stood in two rules that must agree; a third flag repeated the other two; the gap until the next meeting was worked out for every outcome and rule pass, and sums of the cold allowance for warm engines; three kinds of reported share were never told apart.

--- a/crates/simhost/src/mandate.rs
+++ b/crates/simhost/src/mandate.rs
@@ -94,10 +94,8 @@
     };
     let reports = at(&v, "report.fields").and_then(Value::as_array).into_iter().flatten();
     let reports = reports.map(|f| match f.as_str() {
-        Some("load_share") => Load::CoresBusy,
+        Some("load_share" | "x0" | "x1") => Load::Share,
         Some("concurrent") => Load::Held,
-        Some("x0") => Load::MemoryGranted,
-        Some("x1") => Load::DisksBusy,
         _ => Load::Other,
     });
     let ordered = bands.iter().any(|b| b.in_order);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,9 +96,8 @@
 /// What one value of an engine's report tells: a share of the engine, or something else.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Load {
-    CoresBusy,
-    MemoryGranted,
-    DisksBusy,
+    /// Of its cores, memory or disks, in use.
+    Share,
     /// Queries held, running or in the engine's line.
     Held,
     Other,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -183,8 +183,7 @@
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     probes: f64,
-    /// The even share of an engine is less than a wide query: it is asked before one goes, or tells nothing.
-    crowded: bool,
+    /// Crowded, the even share of an engine being less than a wide query: engines are asked, or tell nothing.
     asks: bool,
     blind: bool,
     wake_at: Ms,
@@ -210,7 +209,7 @@
         let widest = m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
         let crowded = m.kinds.iter().all(|k| k.cores * FACTOR / m.gateways < widest);
         let (asks, blind) = (crowded && m.may_probe, crowded && !m.may_probe);
-        Gateway { m, chance, bands, subscribe_at, crowded, asks, blind, ..Default::default() }
+        Gateway { m, chance, bands, subscribe_at, asks, blind, ..Default::default() }
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
@@ -304,8 +303,6 @@
         }
         let (work, open, in_time, blind) = (s.work, s.open, now <= s.aim, self.blind);
         let usual = self.service(b, work);
-        // Among hundreds of gateways, one that rests for less than it meets the engine does not rest.
-        let rest = self.seldom();
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
         match what {
@@ -315,7 +312,8 @@
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
-            Outcome::Full => e.full_until = now + rest,
+            // Among hundreds of gateways, one that rests for less than it meets the engine does not rest.
+            Outcome::Full => self.engines[fwd.engine].full_until = now + self.seldom(),
             Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, blind),
             _ => {}
         }
@@ -370,10 +368,9 @@
 
     // Against a last outcome that never comes, and answers that cross the client's leaving.
     fn answer_at_the_hard_limit(&mut self, out: &mut dyn Outlet) -> bool {
-        let held = self.bands.iter().flat_map(|b| &b.line).chain(&self.flying).copied();
+        let mut held = self.bands.iter().flat_map(|b| &b.line).chain(&self.flying).copied();
         let late = |s: &Taken| s.open && self.now >= s.limit - 2.0 * self.m.tick;
-        let found = held.into_iter().find(|&s| late(&self.subs[s]));
-        found.is_some_and(|s| self.end(s, 0.0, out))
+        held.find(|&s| late(&self.subs[s])).is_some_and(|s| self.end(s, 0.0, out))
     }
 
     // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
@@ -397,7 +394,7 @@
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        let (least, gap) = if self.blind { (1, self.seldom()) } else { (BAD, TRICKLE) };
+        let least = if self.blind { 1 } else { BAD };
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         if (aside + 1) * 2 > n {
@@ -405,14 +402,15 @@
         }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
         let share = |bad: u32, seen: u32| bad as f64 / seen.max(1) as f64;
-        let worse = |e: &&mut Engine| {
+        let worse = |e: &Engine| {
             e.in_use()
                 && e.failures() >= least
                 && share(e.failures(), e.seen) > 2.0 * share(bad - e.failures(), seen - e.seen)
         };
-        let Some(e) = self.engines.iter_mut().filter(worse).max_by_key(|e| e.failures()) else {
-            return false;
-        };
+        let found = (0..self.engines.len()).filter(|&i| worse(&self.engines[i]));
+        let Some(i) = found.max_by_key(|&i| self.engines[i].failures()) else { return false };
+        let gap = if self.blind { self.seldom() } else { TRICKLE };
+        let e = &mut self.engines[i];
         e.aside = Some((self.now + gap, gap));
         out.note(&format!("engine {:012x} set aside: {} of {} failed", e.listed.id, e.failures(), e.seen));
         true
@@ -421,7 +419,7 @@
     // Against wide queries that hundreds of gateways send where the others' already run: engines are asked
     // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
-        for b in (0..self.bands.len()).filter(|&b| self.asks && self.probes >= 1.0 && self.heavy(b)) {
+        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks_for(b)) {
             let Some(sub) = self.first_in(b) else { continue };
             let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
             let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
@@ -589,6 +587,10 @@
         (self.engines.len() as f64 * LONG_HALF / taken).clamp(TRICKLE, LONG_HALF)
     }
 
+    fn asks_for(&self, b: usize) -> bool {
+        self.asks && self.heavy(b)
+    }
+
     fn heavy(&self, b: usize) -> bool {
         (0..self.bands.len()).any(|o| self.usual_work(o) < self.usual_work(b))
     }
@@ -606,8 +608,7 @@
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let enters =
-            !(self.asks && self.heavy(b)) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        let enters = !self.asks_for(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
@@ -615,16 +616,16 @@
     // hundreds, less than one submission: by lot, at home only, so that six times the usual traffic is borne.
     fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
         let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
+        if e.listed.since <= 0.0 || age >= m.warm_after {
+            return true;
+        }
         // Half of an even ramp is counted on: how an engine warms up is not told.
         let warm = m.cold_from + (1.0 - m.cold_from) * (age / m.warm_after).clamp(0.0, 1.0) / 2.0;
         let all = COLD_SHARE * m.fall_multiple * warm;
         let share = all * 0.85 * e.cores * m.fall_span / m.gateways;
         let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - m.fall_span);
         let fits = recent.map(|s| s.1).sum::<f64>() + usual <= share;
-        e.listed.since <= 0.0
-            || age >= m.warm_after
-            || fits
-            || home && self.crowded && s.chance(e.listed.id) < all / 6.0
+        fits || home && (self.asks || self.blind) && s.chance(e.listed.id) < all / 6.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -197,7 +197,7 @@
 
 #[test]
 fn heavy_queries_ask_engines_first_where_own_paces_tell_too_little() {
-    let reports = vec![Load::CoresBusy, Load::Held];
+    let reports = vec![Load::Share, Load::Held];
     let mut g = start(Mandate { gateways: 300.0, may_probe: true, reports, ..two_bands() }, 4);
     (0..4).for_each(|i| drop(send(&mut g, 1.0, i, ask(0, 100.0))));
     let mut sheet = Sheet::default();
