--- /dev/null
+++ b/crates/gateway/src/engine.rs
@@ -0,0 +1,361 @@
+//! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of the
+//! pages that have come in.
+
+use crate::clock::Clock;
+use crate::link::{carry, Parcel};
+use crate::module::{Event, Id};
+use crate::pool::{Buffer, Chain, Pool};
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use futures_lite::future::or;
+use ironstair::{Ms, Outcome};
+use ironstair_mandate::Carriage;
+use ironstair_protocol::lines::{self, Fields, Word};
+use slog::{warn, Logger};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// More pages than the longest result has.
+const PAGES_MOST: usize = 64;
+/// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
+const IDLE_SHARE: f64 = 0.75;
+
+pub enum Order {
+    Forward(Forward),
+    Withdraw(Id),
+    Priority(Id, u8),
+    Report,
+    /// It starts anew, maybe elsewhere: connections to the process before lead nowhere.
+    Moved(SocketAddr),
+    Gone,
+    Up(u64),
+    Came(u64, Buffer),
+    Down(u64, Outcome),
+}
+
+pub struct Forward {
+    pub id: Id,
+    pub band: usize,
+    pub statement: Rc<Chain>,
+    pub priority: Option<u8>,
+    pub limit: Ms,
+}
+
+struct Flight {
+    of: Forward,
+    link: u64,
+    /// Once the engine is done: its pages as they come in, and the work it took.
+    pages: Vec<Option<Buffer>>,
+    work: Option<Ms>,
+}
+
+struct Link {
+    up: bool,
+    open: usize,
+    idle_since: Ms,
+    waiting: Vec<Id>,
+    held: Option<Buffer>,
+    parcels: Sender<Parcel>,
+    _task: Task<()>,
+}
+
+pub struct Shared {
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    pub bands: Vec<String>,
+    pub carriage: Carriage,
+    pub log: Logger,
+    pub module: Sender<Event>,
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+pub struct Engine {
+    pub index: usize,
+    pub address: SocketAddr,
+    pub shared: Rc<Shared>,
+    pub own: Sender<Order>,
+    flights: BTreeMap<Id, Flight>,
+    links: BTreeMap<u64, Link>,
+    opened: u64,
+    asked: u64,
+    events: Vec<Event>,
+}
+
+fn text(id: &Id) -> &str {
+    // Ids are taken in as hexadecimal digits only.
+    std::str::from_utf8(id).unwrap_or_default()
+}
+
+impl Engine {
+    pub fn new(index: usize, address: SocketAddr, shared: Rc<Shared>, own: Sender<Order>) -> Self {
+        let (flights, links) = (BTreeMap::new(), BTreeMap::new());
+        Engine { index, address, shared, own, flights, links, opened: 0, asked: 0, events: Vec::new() }
+    }
+
+    pub async fn run(mut self, orders: Receiver<Order>) {
+        loop {
+            let due = self.due();
+            let order = or(async { orders.recv().await.ok() }, async {
+                match due {
+                    Some(at) => Timer::at(self.shared.clock.at(at)).await,
+                    None => std::future::pending().await,
+                };
+                None
+            });
+            let gone = match order.await {
+                Some(order) => self.follow(order),
+                None => self.expire(),
+            };
+            for event in self.events.drain(..) {
+                if self.shared.module.send(event).await.is_err() {
+                    return;
+                }
+            }
+            if gone {
+                return;
+            }
+        }
+    }
+
+    fn follow(&mut self, order: Order) -> bool {
+        match order {
+            Order::Forward(of) => self.forward(of),
+            Order::Withdraw(id) => {
+                if let Some(f) = self.flights.get(&id) {
+                    let mut line = Vec::new();
+                    match f.pages.is_empty() {
+                        true => lines::withdraw(&mut line, text(&id)),
+                        false => lines::no_more(&mut line, text(&id)),
+                    }
+                    let link = f.link;
+                    // One that still waits for its connection was never sent.
+                    if self.links.get(&link).is_some_and(|l| !l.waiting.contains(&id)) {
+                        self.say(link, line, None);
+                    }
+                    self.end(&id, Outcome::Withdrawn, None);
+                }
+            }
+            Order::Priority(id, n) => {
+                if let Some(f) = self.flights.get_mut(&id) {
+                    f.of.priority = Some(n);
+                    let link = f.link;
+                    if self.links.get(&link).is_some_and(|l| !l.waiting.contains(&id)) {
+                        let mut line = Vec::new();
+                        lines::priority(&mut line, text(&id), n);
+                        self.say(link, line, None);
+                    }
+                }
+            }
+            Order::Report => {
+                self.asked += 1;
+                let mut line = Vec::new();
+                lines::report(&mut line, &format!("r{}", self.asked));
+                let link = self.link();
+                self.say(link, line, None);
+            }
+            Order::Moved(to) => {
+                self.address = to;
+                let all: Vec<u64> = self.links.keys().copied().collect();
+                all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
+            }
+            Order::Gone => {
+                let all: Vec<u64> = self.links.keys().copied().collect();
+                all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
+                return true;
+            }
+            Order::Up(link) => {
+                let Some(l) = self.links.get_mut(&link) else { return false };
+                l.up = true;
+                for id in std::mem::take(&mut l.waiting) {
+                    self.send(&id);
+                }
+            }
+            Order::Came(link, buffer) => self.came(link, buffer),
+            Order::Down(link, how) => self.drop_link(link, how),
+        }
+        false
+    }
+
+    /// The connection with the fewest open forwards that may take one more, else a new one.
+    fn link(&mut self) -> u64 {
+        let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage.streams);
+        if let Some((nth, _)) = room.min_by_key(|l| (!l.1.up, l.1.open)) {
+            return *nth;
+        }
+        self.opened += 1;
+        let (parcels, out) = async_channel::unbounded();
+        let s = &self.shared;
+        let within = s.carriage.connect_within;
+        let task = carry(self.opened, self.address, within, s.pool.clone(), out, self.own.clone());
+        let link = Link {
+            up: false,
+            open: 0,
+            idle_since: s.clock.now(),
+            waiting: Vec::new(),
+            held: None,
+            parcels,
+            _task: s.executor.spawn(task),
+        };
+        self.links.insert(self.opened, link);
+        self.opened
+    }
+
+    fn forward(&mut self, of: Forward) {
+        let (id, link) = (of.id, self.link());
+        self.flights.insert(id, Flight { of, link, pages: Vec::new(), work: None });
+        if let Some(l) = self.links.get_mut(&link) {
+            l.open += 1;
+            if l.up {
+                self.send(&id);
+            } else {
+                l.waiting.push(id);
+            }
+        }
+    }
+
+    fn send(&mut self, id: &Id) {
+        let Some(f) = self.flights.get(id) else { return };
+        let left = (f.of.limit - self.shared.clock.now()).max(1.0);
+        let (mut line, statement) = (Vec::new(), f.of.statement.clone());
+        let band = &self.shared.bands[f.of.band];
+        lines::forward(&mut line, text(id), band, left as u64, f.of.priority, statement.len());
+        self.say(f.link, line, Some(statement));
+    }
+
+    fn say(&mut self, link: u64, line: Vec<u8>, statement: Option<Rc<Chain>>) {
+        if let Some(l) = self.links.get(&link) {
+            // Fails only once the connection has ended, of which word is under way.
+            let _ = l.parcels.try_send(Parcel { line, statement });
+        }
+    }
+
+    fn came(&mut self, link: u64, mut new: Buffer) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let Some(mut held) = l.held.take() else { return self.heard(link, new) };
+        while !new.bytes().is_empty() {
+            let n = held.append(new.bytes());
+            new.consume(n);
+            self.heard(link, held);
+            match self.links.get_mut(&link).and_then(|l| l.held.take()) {
+                Some(h) if n > 0 => held = h,
+                // Nothing is left over: the rest stands by itself. Or the connection has ended.
+                _ => {
+                    return if self.links.contains_key(&link) {
+                        self.heard(link, new)
+                    }
+                }
+            }
+        }
+        if let Some(l) = self.links.get_mut(&link) {
+            l.held = Some(held);
+        }
+    }
+
+    /// Goes through the whole answers in the buffer and keeps the rest.
+    fn heard(&mut self, link: u64, mut buffer: Buffer) {
+        loop {
+            let read = lines::read(buffer.bytes(), |id, word, fields, body| {
+                self.answer(link, id, word, fields, body);
+            });
+            match read {
+                Ok(Some(n)) => buffer.consume(n),
+                Ok(None) => break,
+                Err(e) => {
+                    warn!(self.shared.log, "engine's answer can't be read"; "what" => e, "from" => self.address);
+                    return self.drop_link(link, Outcome::Reset);
+                }
+            }
+        }
+        if let Some(l) = self.links.get_mut(&link).filter(|_| !buffer.bytes().is_empty()) {
+            l.held = Some(buffer);
+        }
+    }
+
+    fn answer(&mut self, link: u64, id: &[u8], word: Word, fields: Fields, body: &[u8]) {
+        if matches!(word, Word::Fit | Word::Unfit) {
+            let values: Vec<f64> = fields.load().collect();
+            if !values.is_empty() {
+                self.events.push(Event::Report { engine: self.index, values });
+            }
+            return;
+        }
+        let Ok(id) = Id::try_from(id) else { return };
+        // What was withdrawn or has timed out is answered in vain.
+        let Some(f) = self.flights.get_mut(&id).filter(|f| f.link == link) else { return };
+        let page = match word {
+            Word::Done if f.pages.is_empty() => {
+                let pages = fields.number("pages").unwrap_or(1.0) as usize;
+                f.work = fields.number("cost");
+                f.pages.resize_with(pages.clamp(1, PAGES_MOST), || None);
+                let mut line = Vec::new();
+                (1..f.pages.len()).for_each(|n| lines::page(&mut line, text(&id), n));
+                if !line.is_empty() {
+                    self.say(link, line, None);
+                }
+                0
+            }
+            Word::More => fields.number("page").unwrap_or(0.0) as usize,
+            Word::Full => return self.end(&id, Outcome::Full, None),
+            Word::Past => return self.end(&id, Outcome::TimedOut, None),
+            _ => return self.end(&id, Outcome::Error, None),
+        };
+        let Some(f) = self.flights.get_mut(&id) else { return };
+        if let (Some(at @ None), Some(mut b)) = (f.pages.get_mut(page), self.shared.pool.lend()) {
+            b.append(body);
+            *at = Some(b);
+        } else {
+            return self.end(&id, Outcome::Error, None);
+        }
+        if f.pages.iter().all(Option::is_some) {
+            let (rows, work, many) = (std::mem::take(&mut f.pages), f.work, f.of.statement.clone());
+            drop(many);
+            if rows.len() > 1 {
+                let mut line = Vec::new();
+                lines::no_more(&mut line, text(&id));
+                self.say(link, line, None);
+            }
+            self.end(&id, Outcome::Settled(work), Some(Chain(rows.into_iter().flatten().collect())));
+        }
+    }
+
+    /// The one place where a forward's room on its connection is given back.
+    fn end(&mut self, id: &Id, what: Outcome, rows: Option<Chain>) {
+        let Some(f) = self.flights.remove(id) else { return };
+        if let Some(l) = self.links.get_mut(&f.link) {
+            l.open -= 1;
+            l.waiting.retain(|w| w != id);
+            l.idle_since = self.shared.clock.now();
+        }
+        self.events.push(Event::Ended { id: *id, what, rows });
+    }
+
+    fn drop_link(&mut self, link: u64, how: Outcome) {
+        if self.links.remove(&link).is_some() {
+            let on = self.flights.iter().filter(|f| f.1.link == link);
+            let on: Vec<Id> = on.map(|f| *f.0).collect();
+            on.iter().for_each(|id| self.end(id, how, None));
+        }
+    }
+
+    fn idle_until(&self, l: &Link) -> Option<Ms> {
+        (l.up && l.open == 0).then_some(l.idle_since + self.shared.carriage.idle * IDLE_SHARE)
+    }
+
+    fn due(&self) -> Option<Ms> {
+        let idle = self.links.values().filter_map(|l| self.idle_until(l));
+        self.flights.values().map(|f| f.of.limit).chain(idle).min_by(f64::total_cmp)
+    }
+
+    fn expire(&mut self) -> bool {
+        let now = self.shared.clock.now();
+        let late = self.flights.iter().filter(|f| f.1.of.limit <= now);
+        let late: Vec<Id> = late.map(|f| *f.0).collect();
+        late.iter().for_each(|id| self.end(id, Outcome::TimedOut, None));
+        let idle = self.links.iter().filter(|l| self.idle_until(l.1).is_some_and(|t| t <= now));
+        let idle: Vec<u64> = idle.map(|l| *l.0).collect();
+        idle.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
+        false
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/module.rs
@@ -0,0 +1,247 @@
+//! The module's actor: the only caller of the decisions. It carries out what they ask for, owns their timer
+//! and what is known of each submission, and never waits on a peer.
+
+use crate::client::Reply;
+use crate::engine::{Engine, Forward, Order, Shared};
+use crate::pool::Chain;
+use crate::told::Place;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future::or;
+use ironstair::door::Door;
+use ironstair::logic::Gateway;
+use ironstair::{Listed, Ms, Outcome, Outlet, Submission};
+use slog::info;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A submission's id as its client wrote it.
+pub type Id = [u8; 16];
+
+pub enum Event {
+    Taken(Box<Taken>),
+    Left(Id),
+    Ended { id: Id, what: Outcome, rows: Option<Chain> },
+    Report { engine: usize, values: Vec<f64> },
+    Roster(BTreeMap<String, Place>),
+}
+
+pub struct Taken {
+    pub id: Id,
+    pub call: u64,
+    pub of: Submission,
+    pub at: Ms,
+    pub statement: Chain,
+    pub client: Sender<Reply>,
+}
+
+struct Held {
+    call: u64,
+    band: usize,
+    limit: Ms,
+    statement: Rc<Chain>,
+    priority: Option<u8>,
+    client: Option<Sender<Reply>>,
+    engine: Option<usize>,
+}
+
+struct Known {
+    name: String,
+    place: Place,
+    orders: Sender<Order>,
+}
+
+struct Hands {
+    shared: Rc<Shared>,
+    now: Ms,
+    subs: Door<Id>,
+    held: Vec<Option<Held>>,
+    names: Door<u64>,
+    engines: Vec<Option<Known>>,
+    wake: Option<Ms>,
+}
+
+impl Hands {
+    /// The one final answer: whoever asks for a second finds no client any more.
+    fn answer(&mut self, submission: usize, reply: impl FnOnce(u64) -> Reply) -> bool {
+        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return false };
+        let Some(client) = h.client.take() else { return false };
+        // A client whose connection is gone needs no answer.
+        let _ = client.try_send(reply(h.call));
+        true
+    }
+
+    fn order(&self, engine: usize, order: Order) -> bool {
+        let to = self.engines.get(engine).and_then(Option::as_ref);
+        to.is_some_and(|e| e.orders.try_send(order).is_ok())
+    }
+}
+
+impl Outlet for Hands {
+    fn forward(&mut self, submission: usize, engine: usize) {
+        let id = self.subs.id(submission);
+        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return };
+        h.engine = Some(engine);
+        let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
+        let of = Forward { id, band, statement, priority, limit };
+        if !self.order(engine, Order::Forward(of)) {
+            // Nobody is there to tell how it ended.
+            let ended = Event::Ended { id, what: Outcome::NoConnection, rows: None };
+            let module = self.shared.module.clone();
+            self.shared.executor.spawn(async move { module.send(ended).await.unwrap_or(()) }).detach();
+        }
+    }
+    fn withdraw(&mut self, submission: usize, _nth: u8) {
+        let id = self.subs.id(submission);
+        if let Some(engine) = self.held.get(submission).and_then(Option::as_ref).and_then(|h| h.engine) {
+            self.order(engine, Order::Withdraw(id));
+        }
+    }
+    fn terms(&mut self, submission: usize, priority: u8, _grant_mb: f64) {
+        // The engines' lines have no word for memory.
+        let id = self.subs.id(submission);
+        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return };
+        h.priority = Some(priority);
+        if let Some(engine) = h.engine {
+            self.order(engine, Order::Priority(id, priority));
+        }
+    }
+    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+        self.answer(submission, |call| Reply::TurnedBack(call, come_back));
+    }
+    fn scrap(&mut self, submission: usize) {
+        self.answer(submission, Reply::Scrapped);
+    }
+    fn subscribe(&mut self) {
+        // The list's actor always follows.
+    }
+    fn probe(&mut self, engine: usize) {
+        self.order(engine, Order::Report);
+    }
+    fn wake(&mut self, after: Ms) {
+        let at = self.now + after;
+        self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+    }
+    fn note(&mut self, text: &str) {
+        info!(self.shared.log, "{}", text);
+    }
+    fn forget(&mut self, submission: usize) {
+        if let Some(held) = self.held.get_mut(submission) {
+            *held = None;
+        }
+        self.subs.release(submission);
+    }
+}
+
+/// Spreads an engine's name over 64 bits, alike at every gateway (FNV-1a).
+fn number(name: &str) -> u64 {
+    name.bytes().fold(0xCBF2_9CE4_8422_2325, |h, b| (h ^ b as u64).wrapping_mul(0x100_0000_01B3))
+}
+
+pub async fn decide(mut gateway: Gateway, shared: Rc<Shared>, events: Receiver<Event>) {
+    let mut hands = Hands {
+        now: shared.clock.now(),
+        shared,
+        subs: Door::default(),
+        held: Vec::new(),
+        names: Door::default(),
+        engines: Vec::new(),
+        wake: None,
+    };
+    loop {
+        let wake = hands.wake;
+        let event = or(async { events.recv().await.map(Some) }, async {
+            match wake {
+                Some(at) => Timer::at(hands.shared.clock.at(at)).await,
+                None => std::future::pending().await,
+            };
+            Ok(None)
+        });
+        let Ok(event) = event.await else { return };
+        let now = hands.shared.clock.now();
+        hands.now = now;
+        match event {
+            None => {
+                hands.wake = None;
+                gateway.due(now, &mut hands);
+            }
+            Some(Event::Taken(t)) => take(&mut gateway, &mut hands, *t),
+            Some(Event::Left(id)) => {
+                if let Some(s) = hands.subs.find(id) {
+                    if let Some(h) = hands.held[s].as_mut() {
+                        h.client = None;
+                    }
+                    gateway.left(now, s, &mut hands);
+                }
+            }
+            Some(Event::Ended { id, what, rows }) => {
+                let Some(s) = hands.subs.find(id) else { continue };
+                let open = hands.held[s].as_mut().is_some_and(|h| {
+                    h.engine = None;
+                    h.client.is_some()
+                });
+                let settled = rows.is_some_and(|rows| hands.answer(s, |call| Reply::Settled(call, rows)));
+                gateway.outcome(now, s, what, settled || !open, &mut hands);
+            }
+            Some(Event::Report { engine, values }) => gateway.report(now, engine, &values, &mut hands),
+            Some(Event::Roster(lines)) => roster(&mut gateway, &mut hands, lines),
+        }
+    }
+}
+
+fn take(gateway: &mut Gateway, hands: &mut Hands, t: Taken) {
+    if hands.subs.find(t.id).is_some() {
+        // An id in use: its first bearer keeps it.
+        let _ = t.client.try_send(Reply::Unusable(t.call));
+        return;
+    }
+    let s = hands.subs.admit(t.id);
+    if hands.held.len() <= s {
+        hands.held.resize_with(s + 1, || None);
+    }
+    let waited = hands.now - t.at;
+    hands.held[s] = Some(Held {
+        call: t.call,
+        band: t.of.band,
+        limit: t.at + t.of.left,
+        statement: Rc::new(t.statement),
+        priority: None,
+        client: Some(t.client),
+        engine: None,
+    });
+    gateway.take(hands.now, s, Submission { left: t.of.left - waited, ..t.of }, hands);
+}
+
+fn roster(gateway: &mut Gateway, hands: &mut Hands, lines: BTreeMap<String, Place>) {
+    for at in 0..hands.engines.len() {
+        if let Some(e) = hands.engines[at].take_if(|e| !lines.contains_key(&e.name)) {
+            let _ = e.orders.try_send(Order::Gone);
+        }
+    }
+    let mut listed = Vec::new();
+    for (name, place) in lines {
+        let id = number(&name);
+        let engine = hands.names.admit(id);
+        if hands.engines.len() <= engine {
+            hands.engines.resize_with(engine + 1, || None);
+        }
+        let Place { zone, kind, cell, standing, since, address } = place;
+        listed.push(Listed { engine, id, zone, kind, cell, standing, since });
+        match &mut hands.engines[engine] {
+            Some(e) => {
+                if e.place.address != address || e.place.since != since {
+                    let _ = e.orders.try_send(Order::Moved(address));
+                }
+                e.place = place;
+            }
+            none => {
+                info!(hands.shared.log, "engine {:012x} is {}", id, name);
+                let (orders, mailbox) = async_channel::unbounded();
+                let actor = Engine::new(engine, address, hands.shared.clone(), orders.clone());
+                hands.shared.executor.spawn(actor.run(mailbox)).detach();
+                *none = Some(Known { name, place, orders });
+            }
+        }
+    }
+    gateway.roster(hands.now, true, &listed, hands);
+}
--- /dev/null
+++ b/crates/gateway/src/told.rs
@@ -0,0 +1,118 @@
+//! What a gateway is told at start, decoded once.
+
+use ironstair::{Mandate, Ms, Standing};
+use ironstair_mandate::{bands, carriage, kinds, mandate, zones, Carriage};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// One engine of the roster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub zone: u16,
+    pub kind: u16,
+    pub cell: u16,
+    pub standing: Standing,
+    pub since: Ms,
+}
+
+/// The names under which zones and kinds of machine come; the decisions know them by index.
+pub struct Index {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+impl Index {
+    /// A name that was not told at start gets a number that no rule allows.
+    fn of(names: &[String], name: &str) -> u16 {
+        names.iter().position(|n| n.eq_ignore_ascii_case(name)).unwrap_or(u16::MAX as usize) as u16
+    }
+    pub fn zone(&self, name: &str) -> u16 {
+        Self::of(&self.zones, name)
+    }
+    pub fn kind(&self, name: &str) -> u16 {
+        Self::of(&self.kinds, name)
+    }
+}
+
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub names: SocketAddr,
+    pub seed: u64,
+    pub mandate: Mandate,
+    pub carriage: Carriage,
+    pub bands: Vec<String>,
+    pub index: Index,
+    /// The roster up to now, and the number of its last change.
+    pub known: BTreeMap<String, Place>,
+    pub rev: u32,
+}
+
+pub fn read(path: &Path) -> Result<Told, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    decode(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn text<'a>(v: &'a Value, key: &str) -> Result<&'a str, String> {
+    v[key].as_str().ok_or_else(|| format!("{key} is missing or no text"))
+}
+
+fn address(v: &Value, key: &str) -> Result<SocketAddr, String> {
+    let found = text(v, key)?;
+    found.parse().map_err(|_| format!("{key} is no address: {found}"))
+}
+
+pub fn decode(json: &[u8]) -> Result<Told, String> {
+    let v: Value = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+    let settings = &v["settings"];
+    let seed = text(&v, "seed")?;
+    let index = Index { zones: zones(settings)?, kinds: kinds(settings)? };
+    let mut known = BTreeMap::new();
+    let notices = v["known"]["notices"].as_array();
+    for notice in notices.into_iter().flatten() {
+        follow(&mut known, &notice["pool"], &index)?;
+    }
+    Ok(Told {
+        name: text(&v, "name")?.to_string(),
+        listen: address(&v, "listen")?,
+        names: address(&v, "names")?,
+        seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hexadecimal number: {seed}"))?,
+        mandate: mandate(settings).map_err(|e| format!("settings: {e}"))?,
+        carriage: carriage(settings).map_err(|e| format!("settings: {e}"))?,
+        bands: bands(settings).map_err(|e| format!("settings: {e}"))?,
+        index,
+        known,
+        rev: v["known"]["rev"].as_u64().unwrap_or(0) as u32,
+    })
+}
+
+/// One change of the roster, upon those before it.
+fn follow(known: &mut BTreeMap<String, Place>, pool: &Value, index: &Index) -> Result<(), String> {
+    if pool["reset"].as_bool().unwrap_or(false) {
+        known.clear();
+    }
+    for e in pool["instances"].as_array().into_iter().flatten() {
+        let name = text(e, "instanceId")?;
+        let standing = match text(e, "lifecycle")? {
+            "ready" => Standing::Ready,
+            "draining" => Standing::Draining,
+            _ => {
+                known.remove(name);
+                continue;
+            }
+        };
+        let place = Place {
+            address: address(e, "hostPort")?,
+            zone: index.zone(e["zone"].as_str().unwrap_or_default()),
+            kind: index.kind(e["machineType"].as_str().unwrap_or_default()),
+            cell: e["cell"].as_u64().unwrap_or(0) as u16,
+            standing,
+            since: e["startedAtMs"].as_f64().unwrap_or(0.0),
+        };
+        known.insert(name.to_string(), place);
+    }
+    Ok(())
+}
--- a/crates/simhost/src/mandate.rs
+++ b/crates/mandate/src/lib.rs
@@ -1,8 +1,11 @@
-//! Reads the start message. A figure that a rule rests on is never guessed: without it, no start.
+//! Reads the settings object that every host of the decisions is given. A figure that a rule rests on is
+//! never guessed: without it, no start.
 
 use ironstair::{Kind, Load, Mandate, Ms, Ration, Repeat, Terms, Within};
 use serde_json::Value;
 
+const NS: f64 = 1e6;
+
 fn at<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
     let found = path.split('.').try_fold(v, |v, key| v.get(key))?;
     (!found.is_null()).then_some(found)
@@ -14,7 +17,7 @@
 }
 
 fn time(v: &Value, path: &str) -> Result<Ms, String> {
-    Ok(number(v, path)? / crate::NS)
+    Ok(number(v, path)? / NS)
 }
 
 fn number_or(v: &Value, path: &str, absent: f64) -> Result<f64, String> {
@@ -71,55 +74,93 @@
     })
 }
 
+/// What carries the forwards: how long to connect, how long an idle connection lives, how many share one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Carriage {
+    pub connect_within: Ms,
+    pub idle: Ms,
+    pub streams: usize,
+}
+
+pub fn carriage(v: &Value) -> Result<Carriage, String> {
+    Ok(Carriage {
+        connect_within: time(v, "policy_limits.connect_timeout_ns")?,
+        idle: time(v, "policy_limits.keepalive_ns")?,
+        streams: number(v, "policy_limits.multiplex")?.max(1.0) as usize,
+    })
+}
+
+/// The names that a protocol uses for what the decisions know by index.
+pub fn bands(v: &Value) -> Result<Vec<String>, String> {
+    list(v, "classes")?.iter().map(|c| word(c, "name").map(String::from)).collect()
+}
+
+pub fn zones(v: &Value) -> Result<Vec<String>, String> {
+    names(v, "dcs")
+}
+
+pub fn kinds(v: &Value) -> Result<Vec<String>, String> {
+    names(v, "machine_types")
+}
+
+fn names(v: &Value, path: &str) -> Result<Vec<String>, String> {
+    let text =
+        |n: &Value| n.as_str().map(String::from).ok_or_else(|| format!("{path} holds what is no text"));
+    list(v, path)?.iter().map(text).collect()
+}
+
 pub fn read(text: &[u8]) -> Result<Mandate, String> {
-    let v: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let threads = at(&v, "family_info.threads_by_class").and_then(Value::as_array);
-    let bands = list(&v, "classes")?.iter().enumerate();
+    mandate(&serde_json::from_slice(text).map_err(|e| e.to_string())?)
+}
+
+pub fn mandate(v: &Value) -> Result<Mandate, String> {
+    let threads = at(v, "family_info.threads_by_class").and_then(Value::as_array);
+    let bands = list(v, "classes")?.iter().enumerate();
     let bands = bands
         .map(|(i, c)| terms(c, threads.and_then(|t| t.get(i))).map_err(|e| format!("classes[{i}]: {e}")))
         .collect::<Result<Vec<_>, _>>()?;
-    let value = |list: &str, i: usize| at(&v, list)?.get(i)?.as_f64();
-    let kinds = at(&v, "machine_types").and_then(Value::as_array).map_or(0, Vec::len);
+    let value = |list: &str, i: usize| at(v, list)?.get(i)?.as_f64();
+    let kinds = at(v, "machine_types").and_then(Value::as_array).map_or(0, Vec::len);
     let kinds = (0..kinds).map(|i| Kind {
         cores: value("family_info.size_cores", i).filter(|c| *c > 0.0).unwrap_or(1.0),
         memory_mb: value("family_info.ram_of_kind_mb", i).unwrap_or(0.0),
     });
-    let ration = match at(&v, "guarantees.budget_span_ns") {
+    let ration = match at(v, "guarantees.budget_span_ns") {
         None => None,
         Some(_) => Some(Ration {
-            spare: number(&v, "guarantees.spare_attempts")?,
-            share: number(&v, "guarantees.repeat_ratio")?,
-            span: time(&v, "guarantees.budget_span_ns")?,
+            spare: number(v, "guarantees.spare_attempts")?,
+            share: number(v, "guarantees.repeat_ratio")?,
+            span: time(v, "guarantees.budget_span_ns")?,
         }),
     };
-    let reports = at(&v, "report.fields").and_then(Value::as_array).into_iter().flatten();
+    let reports = at(v, "report.fields").and_then(Value::as_array).into_iter().flatten();
     let reports = reports.map(|f| match f.as_str() {
         Some("load_share" | "x0" | "x1") => Load::Share,
         Some("concurrent") => Load::Held,
         _ => Load::Other,
     });
     let ordered = bands.iter().any(|b| b.in_order);
-    let key_rest = if ordered { time(&v, "guarantees.settle_after_doubt_ns")? } else { 0.0 };
-    let advised = flag(&v, "policy_limits.retry_after")?;
+    let key_rest = if ordered { time(v, "guarantees.settle_after_doubt_ns")? } else { 0.0 };
+    let advised = flag(v, "policy_limits.retry_after")?;
     Ok(Mandate {
-        gateways: number(&v, "fleet_size")?.max(1.0),
+        gateways: number(v, "fleet_size")?.max(1.0),
         bands,
         kinds: kinds.collect(),
-        most_grant: number_or(&v, "family_info.largest_share", 1.0)?,
-        grants_heeded: flag(&v, "family_info.takes_grants")?,
-        priorities_heeded: flag(&v, "family_info.lanes_count")?,
-        may_withdraw: flag(&v, "policy_limits.may_cancel")?,
-        may_probe: flag(&v, "policy_limits.probes")?,
+        most_grant: number_or(v, "family_info.largest_share", 1.0)?,
+        grants_heeded: flag(v, "family_info.takes_grants")?,
+        priorities_heeded: flag(v, "family_info.lanes_count")?,
+        may_withdraw: flag(v, "policy_limits.may_cancel")?,
+        may_probe: flag(v, "policy_limits.probes")?,
         reports: reports.collect(),
-        come_back_most: if advised { time(&v, "policy_limits.max_retry_after_ns")? } else { 0.0 },
-        most_forwards: number(&v, "policy_limits.max_attempts")?.clamp(0.0, 255.0) as u8,
-        must_subscribe: word(&v, "registry_mode")? == "subscribe",
-        cold_from: number(&v, "guarantees.cold_from")?,
-        warm_after: time(&v, "guarantees.warm_after_ns")?,
-        fall_multiple: number(&v, "guarantees.overload_factor")?,
-        fall_span: time(&v, "guarantees.fall_ns")?,
+        come_back_most: if advised { time(v, "policy_limits.max_retry_after_ns")? } else { 0.0 },
+        most_forwards: number(v, "policy_limits.max_attempts")?.clamp(0.0, 255.0) as u8,
+        must_subscribe: word(v, "registry_mode")? == "subscribe",
+        cold_from: number(v, "guarantees.cold_from")?,
+        warm_after: time(v, "guarantees.warm_after_ns")?,
+        fall_multiple: number(v, "guarantees.overload_factor")?,
+        fall_span: time(v, "guarantees.fall_ns")?,
         ration,
         key_rest,
-        tick: time(&v, "resolution_ns")?,
+        tick: time(v, "resolution_ns")?,
     })
 }
--- /dev/null
+++ b/crates/protocol/src/json.rs
@@ -0,0 +1,165 @@
+//! Reads JSON off a buffer, value by value; text without escapes is borrowed.
+
+use std::borrow::Cow;
+
+/// Deeper than any message of ours; against a stack spent on brackets.
+const DEEPEST: usize = 32;
+
+pub struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8]) -> Self {
+        Reader { bytes, at: 0 }
+    }
+
+    /// The next byte that is no space.
+    pub fn peek(&mut self) -> Option<u8> {
+        let rest = self.bytes.get(self.at..)?;
+        self.at += rest.iter().take_while(|b| b" \t\r\n".contains(b)).count();
+        self.bytes.get(self.at).copied()
+    }
+
+    fn expect(&mut self, byte: u8) -> Option<()> {
+        (self.peek()? == byte).then(|| self.at += 1)
+    }
+
+    /// Goes through an object; `each` must read the value of every key that it is given.
+    pub fn object(&mut self, mut each: impl FnMut(&[u8], &mut Self) -> Option<()>) -> Option<()> {
+        self.expect(b'{')?;
+        if self.peek()? == b'}' {
+            self.at += 1;
+            return Some(());
+        }
+        loop {
+            let key = self.text()?;
+            self.expect(b':')?;
+            each(&key, self)?;
+            match self.peek()? {
+                b',' => self.at += 1,
+                b'}' => {
+                    self.at += 1;
+                    return Some(());
+                }
+                _ => return None,
+            }
+        }
+    }
+
+    pub fn text(&mut self) -> Option<Cow<'a, [u8]>> {
+        self.expect(b'"')?;
+        let rest = self.bytes.get(self.at..)?;
+        let plain = rest.iter().position(|b| matches!(b, b'"' | b'\\'))?;
+        if rest[plain] == b'"' {
+            self.at += plain + 1;
+            return Some(Cow::Borrowed(&rest[..plain]));
+        }
+        let mut out = rest[..plain].to_vec();
+        self.at += plain;
+        loop {
+            let byte = self.next()?;
+            match byte {
+                b'"' => return Some(Cow::Owned(out)),
+                b'\\' => match self.next()? {
+                    b'n' => out.push(b'\n'),
+                    b't' => out.push(b'\t'),
+                    b'r' => out.push(b'\r'),
+                    b'b' => out.push(8),
+                    b'f' => out.push(12),
+                    b'u' => {
+                        let mut unit = self.unit()?;
+                        if (0xD800..0xDC00).contains(&unit) && self.bytes.get(self.at..)?.starts_with(b"\\u")
+                        {
+                            self.at += 2;
+                            let low = self.unit()?;
+                            unit = 0x10000 + ((unit - 0xD800) << 10) + low.checked_sub(0xDC00)?;
+                        }
+                        out.extend(char::from_u32(unit)?.encode_utf8(&mut [0; 4]).as_bytes());
+                    }
+                    c @ (b'"' | b'\\' | b'/') => out.push(c),
+                    _ => return None,
+                },
+                _ => out.push(byte),
+            }
+        }
+    }
+
+    fn next(&mut self) -> Option<u8> {
+        let byte = self.bytes.get(self.at).copied()?;
+        self.at += 1;
+        Some(byte)
+    }
+
+    fn unit(&mut self) -> Option<u32> {
+        let digits = self.bytes.get(self.at..self.at + 4)?;
+        self.at += 4;
+        u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+    }
+
+    pub fn number(&mut self) -> Option<f64> {
+        self.peek()?;
+        let rest = &self.bytes[self.at..];
+        let n = rest.iter().take_while(|b| b.is_ascii_digit() || b"+-.eE".contains(b)).count();
+        self.at += n;
+        std::str::from_utf8(&rest[..n]).ok()?.parse().ok().filter(|x: &f64| x.is_finite())
+    }
+
+    /// A whole number in plain digits.
+    pub fn count(&mut self) -> Option<u64> {
+        self.number().filter(|x| *x >= 0.0 && x.fract() == 0.0 && *x < 9007199254740992.0).map(|x| x as u64)
+    }
+
+    /// Whether a mark is set: a number other than 0, true, or a text that says neither.
+    pub fn mark(&mut self) -> Option<bool> {
+        match self.peek()? {
+            b'"' => self.text().map(|t| !matches!(&*t, b"" | b"0" | b"false")),
+            b't' | b'f' | b'n' => {
+                let set = self.bytes[self.at] == b't';
+                self.skip(0).map(|()| set)
+            }
+            _ => self.number().map(|x| x != 0.0),
+        }
+    }
+
+    pub fn skip(&mut self, depth: usize) -> Option<()> {
+        if depth > DEEPEST {
+            return None;
+        }
+        match self.peek()? {
+            b'{' => self.object(|_, r| r.skip(depth + 1)),
+            b'"' => self.text().map(drop),
+            b'[' => {
+                self.at += 1;
+                if self.peek()? == b']' {
+                    self.at += 1;
+                    return Some(());
+                }
+                loop {
+                    self.skip(depth + 1)?;
+                    match self.peek()? {
+                        b',' => self.at += 1,
+                        b']' => {
+                            self.at += 1;
+                            return Some(());
+                        }
+                        _ => return None,
+                    }
+                }
+            }
+            b't' | b'f' | b'n' => {
+                let rest = &self.bytes[self.at..];
+                let word = [&b"true"[..], b"false", b"null"].into_iter().find(|w| rest.starts_with(w))?;
+                self.at += word.len();
+                Some(())
+            }
+            _ => self.number().map(drop),
+        }
+    }
+
+    /// Whether nothing follows but space.
+    pub fn over(&mut self) -> bool {
+        self.peek().is_none()
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lines.rs
@@ -0,0 +1,114 @@
+//! The engines' lines: commands to them, answers from them.
+
+use std::io::Write;
+
+/// The longest line that is waited for.
+pub const LINE_MOST: usize = 1024;
+/// The longest body of one answer.
+pub const BODY_MOST: usize = 6144;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Done,
+    Full,
+    Broke,
+    Past,
+    More,
+    Fit,
+    Unfit,
+}
+
+/// An answer's fields, looked up by name.
+#[derive(Clone, Copy)]
+pub struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    pub fn text(&self, name: &str) -> Option<&'a [u8]> {
+        self.0.split(|b| *b == b',').find_map(|f| f.strip_prefix(name.as_bytes())?.strip_prefix(b"="))
+    }
+    pub fn number(&self, name: &str) -> Option<f64> {
+        number(self.text(name)?)
+    }
+    /// The values of a load report, in the order told.
+    pub fn load(&self) -> impl Iterator<Item = f64> + 'a {
+        let pairs = self.text("load").unwrap_or_default().split(|b| *b == b';');
+        pairs.filter_map(|p| number(p.splitn(2, |b| *b == b':').nth(1)?))
+    }
+}
+
+fn number(text: &[u8]) -> Option<f64> {
+    std::str::from_utf8(text).ok()?.parse().ok().filter(|x: &f64| x.is_finite())
+}
+
+/// Hands over the first answer and says how many bytes it took; none while it is not whole.
+pub fn read(
+    bytes: &[u8],
+    take: impl FnOnce(&[u8], Word, Fields, &[u8]),
+) -> Result<Option<usize>, &'static str> {
+    let Some(end) = bytes.iter().take(LINE_MOST).position(|b| *b == b'\n') else {
+        return if bytes.len() >= LINE_MOST { Err("line too long") } else { Ok(None) };
+    };
+    let line = bytes[..end].strip_suffix(b"\r").ok_or("line without its end")?;
+    let mut words = line.split(|b| *b == b' ').filter(|w| !w.is_empty());
+    let (Some(id), Some(word)) = (words.next(), words.next()) else { return Err("line without words") };
+    let word = match word {
+        b"DONE" => Word::Done,
+        b"WAIT" => Word::Full,
+        b"BROKE" => Word::Broke,
+        b"PAST" => Word::Past,
+        b"MORE" => Word::More,
+        b"FIT" => Word::Fit,
+        b"UNFIT" => Word::Unfit,
+        _ => return Err("unknown word"),
+    };
+    let fields = words.next().unwrap_or(b"-");
+    let length = match words.next() {
+        None => None,
+        Some(n) => {
+            Some(std::str::from_utf8(n).ok().and_then(|n| n.parse::<usize>().ok()).ok_or("no length")?)
+        }
+    };
+    let Some(length) = length else {
+        take(id, word, Fields(fields), b"");
+        return Ok(Some(end + 1));
+    };
+    if length > BODY_MOST {
+        return Err("body too long");
+    }
+    let Some(body) = bytes.get(end + 1..end + 3 + length) else { return Ok(None) };
+    let body = body.strip_suffix(b"\r\n").ok_or("body without its end")?;
+    take(id, word, Fields(fields), body);
+    Ok(Some(end + 3 + length))
+}
+
+// Writing to a vector cannot fail.
+macro_rules! put {
+    ($to:expr, $($text:tt)*) => {{ let _ = write!($to, $($text)*); }};
+}
+
+/// The line that a statement of `length` bytes follows, and then `END`.
+pub fn forward(to: &mut Vec<u8>, id: &str, band: &str, left: u64, priority: Option<u8>, length: usize) {
+    put!(to, "fetch {id} c={band},w={left}");
+    if let Some(p) = priority {
+        put!(to, ",prio={p}");
+    }
+    put!(to, " {length}\r\n");
+}
+
+pub const END: &[u8] = b"\r\n";
+
+pub fn withdraw(to: &mut Vec<u8>, id: &str) {
+    put!(to, "abort {id}\r\n");
+}
+pub fn priority(to: &mut Vec<u8>, id: &str, priority: u8) {
+    put!(to, "renice {id} {priority}\r\n");
+}
+pub fn page(to: &mut Vec<u8>, id: &str, page: usize) {
+    put!(to, "more {id} {page}\r\n");
+}
+pub fn no_more(to: &mut Vec<u8>, id: &str) {
+    put!(to, "done {id}\r\n");
+}
+pub fn report(to: &mut Vec<u8>, tag: &str) {
+    put!(to, "stats {tag}\r\n");
+}
--- /dev/null
+++ b/crates/protocol/src/rpc.rs
@@ -0,0 +1,121 @@
+//! JSON-RPC 2.0 behind a head with the length: what clients send, and the answers.
+
+use crate::json::Reader;
+use std::borrow::Cow;
+use std::io::Write;
+
+/// The longest head that is waited for.
+pub const HEAD_MOST: usize = 512;
+/// The longest message that is taken in.
+pub const MESSAGE_MOST: usize = 256 * 1024;
+
+pub const TURNED_BACK: i32 = -32014;
+pub const SCRAPPED: i32 = -32002;
+pub const UNREADABLE: i32 = -32700;
+pub const INVALID: i32 = -32600;
+pub const UNKNOWN_METHOD: i32 = -32601;
+pub const INVALID_FIELDS: i32 = -32602;
+
+/// A submission's fields, as far as they are there.
+#[derive(Default)]
+pub struct Params<'a> {
+    pub id: Option<Cow<'a, [u8]>>,
+    pub call: Option<u64>,
+    pub left: Option<f64>,
+    pub later_try: bool,
+    pub work: Option<f64>,
+    pub memory_mb: Option<f64>,
+    pub key: Option<Cow<'a, [u8]>>,
+    pub statement: Option<Cow<'a, [u8]>>,
+}
+
+/// Length of the head and of the message behind it; none while the head is not whole.
+pub fn head(bytes: &[u8]) -> Result<Option<(usize, usize)>, &'static str> {
+    let (mut at, mut length) = (0, None);
+    loop {
+        let rest = &bytes[at..bytes.len().min(HEAD_MOST)];
+        let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
+            return if at + rest.len() >= HEAD_MOST { Err("head too long") } else { Ok(None) };
+        };
+        let line = &rest[..end];
+        at += end + 2;
+        if line.is_empty() {
+            let n = length.ok_or("head without length")?;
+            return if n > MESSAGE_MOST { Err("message too long") } else { Ok(Some((at, n))) };
+        }
+        let colon = line.iter().position(|b| *b == b':').ok_or("head line without colon")?;
+        if line[..colon].trim_ascii().eq_ignore_ascii_case(b"content-length") {
+            let digits = std::str::from_utf8(line[colon + 1..].trim_ascii()).ok();
+            length = Some(digits.and_then(|d| d.parse().ok()).ok_or("length is no number")?);
+        }
+    }
+}
+
+/// Hands a message's call number, method and fields to `take`; the error says what it is no call for.
+pub fn read<'a, T>(
+    message: &'a [u8],
+    take: impl FnOnce(Option<u64>, &[u8], Params<'a>) -> T,
+) -> Result<T, (Option<u64>, i32)> {
+    let (mut call, mut method, mut params) = (None, None, Params::default());
+    let mut r = Reader::new(message);
+    let whole = r.object(|key, r| {
+        match key {
+            b"id" if r.peek()? == b'n' => r.skip(0)?,
+            b"id" => call = Some(r.count()?),
+            b"method" => method = Some(r.text()?),
+            b"params" if r.peek()? == b'{' => fields(r, &mut params)?,
+            _ => r.skip(0)?,
+        }
+        Some(())
+    });
+    if whole.is_none() || !r.over() {
+        return Err((call, UNREADABLE));
+    }
+    let method = method.ok_or((call, INVALID))?;
+    Ok(take(call, &method, params))
+}
+
+fn fields<'a>(r: &mut Reader<'a>, p: &mut Params<'a>) -> Option<()> {
+    r.object(|key, r| {
+        match key {
+            b"id" if r.peek()? == b'"' => p.id = Some(r.text()?),
+            b"id" => p.call = Some(r.count()?),
+            b"wait" => p.left = Some(r.number()?),
+            b"retry" => p.later_try = r.mark()?,
+            b"cost" => p.work = Some(r.number()?),
+            b"ram" => p.memory_mb = Some(r.number()?),
+            b"key" => p.key = Some(r.text()?),
+            b"bytes" => p.statement = Some(r.text()?),
+            _ => r.skip(0)?,
+        }
+        Some(())
+    })
+}
+
+/// A result begins with this and ends with `RESULT_END`; between them stands text of `length` bytes.
+pub fn result_start(to: &mut Vec<u8>, call: u64, length: usize) {
+    let digits = call.checked_ilog10().unwrap_or(0) as usize + 1;
+    let n = RESULT_MIDDLE.len() + BEFORE_CALL.len() + digits + length + RESULT_END.len();
+    to.extend(format!("Content-Length: {n}\r\n\r\n{BEFORE_CALL}{call}{RESULT_MIDDLE}").as_bytes());
+}
+
+const BEFORE_CALL: &str = "{\"jsonrpc\":\"2.0\",\"id\":";
+const RESULT_MIDDLE: &str = ",\"result\":{\"bytes\":\"";
+pub const RESULT_END: &str = "\"}}";
+
+pub fn fit(to: &mut Vec<u8>, call: u64, fit: bool) {
+    framed(to, format!("{BEFORE_CALL}{call},\"result\":{{\"fit\":{fit}}}}}"));
+}
+
+/// An error, with advice on when to come back where there is any.
+pub fn error(to: &mut Vec<u8>, call: Option<u64>, code: i32, text: &str, come_back: f64) {
+    let call = call.map_or("null".to_string(), |c| c.to_string());
+    let advice =
+        if come_back >= 1.0 { format!(",\"data\":{{\"after\":{come_back:.0}}}") } else { String::new() };
+    framed(to, format!("{BEFORE_CALL}{call},\"error\":{{\"code\":{code},\"message\":\"{text}\"{advice}}}}}"));
+}
+
+fn framed(to: &mut Vec<u8>, message: String) {
+    // Writing to a vector cannot fail.
+    let _ = write!(to, "Content-Length: {}\r\n\r\n{message}", message.len());
+}
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -1,14 +1,12 @@
 //! The simulator's wire around the decisions: frames in, calls, frames out. Nothing is decided here.
 
-mod mandate;
-
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
 use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 
-pub use mandate::read as read_mandate;
+pub use ironstair_mandate::read as read_mandate;
 
 type Address = [u8; 6];
 
@@ -176,7 +174,7 @@
             let seed = f.u64("seed")?;
             let n = f.u32("start message length")? as usize;
             let text = f.take(n, "start message")?;
-            match mandate::read(text) {
+            match read_mandate(text) {
                 Ok(m) => {
                     let bands = m.bands.len();
                     let gateway = Gateway::new(m, seed);
