Half-closed clients still get their answers; answers are whole before a drain closes

The list is asked from the gateway's own address (127.0.0.1 would reach nothing elsewhere); text records may come one by one or together.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -8,12 +8,13 @@
 use async_io::Async;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
+use event_listener::Event as Bell;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ironstair::{Ms, Submission};
 use ironstair_protocol::{rpc, statement};
 use slog::warn;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
@@ -34,12 +35,15 @@
     leaving: Rc<Leaving>,
     own: Sender<Reply>,
     open: RefCell<BTreeMap<u64, Id>>,
+    writing: Cell<bool>,
+    answered: Bell,
 }
 
 pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, leaving: Rc<Leaving>) {
     let _ = stream.get_ref().set_nodelay(true);
     let (own, replies) = async_channel::unbounded();
-    let client = Client { shared, leaving, own, open: RefCell::default() };
+    let (open, writing, answered) = (RefCell::default(), Cell::new(false), Bell::new());
+    let client = Client { shared, leaving, own, open, writing, answered };
     let _ = or(client.read(&stream), client.write(&stream, replies)).await;
     drop(stream);
     // Nobody is left to answer.
@@ -53,6 +57,17 @@
 }
 
 impl Client {
+    /// Until nothing is owed on this connection.
+    async fn quiet(&self) {
+        loop {
+            let heard = self.answered.listen();
+            if self.open.borrow().is_empty() && self.own.is_empty() && !self.writing.get() {
+                return;
+            }
+            heard.await;
+        }
+    }
+
     async fn read(&self, stream: &Async<TcpStream>) -> io::Result<()> {
         let mut held: Option<Buffer> = None;
         loop {
@@ -60,7 +75,8 @@
                 Some(b) => b,
                 None => {
                     let leave = async {
-                        self.leaving.left(|| self.open.borrow().is_empty()).await;
+                        self.leaving.closing().await;
+                        self.quiet().await;
                         Err(io::ErrorKind::ConnectionAborted.into())
                     };
                     or(stream.readable(), leave).await?;
@@ -69,6 +85,8 @@
             };
             let n = (&mut &*stream).read(buffer.space()).await?;
             if n == 0 {
+                // The client's way alone may have ended: who wants no answer any more says so by a call.
+                self.quiet().await;
                 return Ok(());
             }
             buffer.filled(n);
@@ -146,10 +164,8 @@
     fn call(&self, at: Ms, call: Option<u64>, method: &[u8], p: rpc::Params) -> Option<Event> {
         match method {
             b"interrupt" => {
-                let mut open = self.open.borrow_mut();
-                let by_id = p.id.as_deref().and_then(id);
-                let by_id = by_id.and_then(|id| open.iter().find(|o| *o.1 == id).map(|o| *o.0));
-                let gone = open.remove(&by_id.or(p.call).or(call)?)?;
+                let gone = self.open.borrow_mut().remove(&p.call?)?;
+                self.answered.notify(usize::MAX);
                 return Some(Event::Left(gone));
             }
             b"check" => {
@@ -162,7 +178,7 @@
         let Some(call) = call else { return self.fault(None, rpc::INVALID) };
         let band = self.shared.bands.iter().position(|b| b.as_bytes() == method);
         let Some(band) = band else { return self.fault(Some(call), rpc::UNKNOWN_METHOD) };
-        let fields = p.id.as_deref().and_then(id).zip(p.left.filter(|l| *l > 0.0));
+        let fields = p.id.as_deref().and_then(id).zip(p.left);
         let statement = p.statement.as_deref().and_then(|s| self.statement(s));
         let Some(((id, left), statement)) = fields.zip(statement) else {
             return self.fault(Some(call), rpc::INVALID_FIELDS);
@@ -198,27 +214,32 @@
         let mut out = Vec::new();
         while let Ok(reply) = replies.recv().await {
             out.clear();
+            self.writing.set(true);
             let call = match &reply {
                 Reply::Settled(c, _) | Reply::TurnedBack(c, _) | Reply::Scrapped(c) | Reply::Unusable(c) => {
                     // Not for one that its client has taken back meanwhile.
-                    if self.open.borrow_mut().remove(c).is_none() {
+                    if !self.open.borrow().contains_key(c) {
+                        self.writing.set(false);
+                        self.answered.notify(usize::MAX);
                         continue;
                     }
-                    *c
+                    Some(*c)
                 }
-                Reply::Plain(_) => 0,
+                Reply::Plain(_) => None,
             };
             match reply {
-                Reply::Settled(_, rows) => self.settled(stream, &mut out, call, rows).await?,
+                Reply::Settled(call, rows) => self.settled(stream, &mut out, call, rows).await?,
                 Reply::TurnedBack(_, after) => {
-                    rpc::error(&mut out, Some(call), rpc::TURNED_BACK, "turned back", after)
+                    rpc::error(&mut out, call, rpc::TURNED_BACK, "turned back", after)
                 }
-                Reply::Scrapped(_) => rpc::error(&mut out, Some(call), rpc::SCRAPPED, "scrapped", 0.0),
-                Reply::Unusable(_) => rpc::error(&mut out, Some(call), rpc::INVALID_FIELDS, "id in use", 0.0),
+                Reply::Scrapped(_) => rpc::error(&mut out, call, rpc::SCRAPPED, "scrapped", 0.0),
+                Reply::Unusable(_) => rpc::error(&mut out, call, rpc::INVALID_FIELDS, "id in use", 0.0),
                 Reply::Plain(message) => out = message,
             }
             (&mut &*stream).write_all(&out).await?;
-            self.leaving.answered();
+            call.and_then(|c| self.open.borrow_mut().remove(&c));
+            self.writing.set(false);
+            self.answered.notify(usize::MAX);
         }
         Ok(())
     }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -10,7 +10,7 @@
 use ironstair_protocol::dns;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 
 const ZONE: &str = "_data._tcp.farm.lan";
 /// A change counts as told 1.5 s after it happened, heard of or not: asked several times as often, a few lost
@@ -20,14 +20,14 @@
 const SILENT: u32 = 10;
 
 pub async fn follow(
+    from: IpAddr,
     names: SocketAddr,
     index: Index,
     mut rev: u32,
     module: Sender<Event>,
     log: Logger,
 ) -> std::io::Result<()> {
-    let local: SocketAddr = if names.is_ipv4() { ([127, 0, 0, 1], 0).into() } else { ([0u16; 8], 0).into() };
-    let socket = Async::<UdpSocket>::bind(local)?;
+    let socket = Async::<UdpSocket>::bind((from, 0))?;
     let (mut query, mut packet) = (Vec::new(), vec![0; dns::ANSWER_MOST]);
     let mut unanswered = 0u32;
     for number in (0..=u16::MAX).cycle() {
@@ -35,7 +35,7 @@
         dns::question(&mut query, number, ZONE);
         // One that can't be sent is as good as lost on the way.
         let _ = socket.send_to(&query, names).await;
-        let pause = Timer::after(span(ASK_EVERY));
+        let mut pause = Timer::after(span(ASK_EVERY));
         let heard = async {
             loop {
                 let (n, from) = socket.recv_from(&mut packet).await?;
@@ -49,7 +49,6 @@
                 }
             }
         };
-        let mut pause = pause;
         let late = async {
             (&mut pause).await;
             Ok(None)
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -38,27 +38,15 @@
         self.begun.get()
     }
 
-    pub fn answered(&self) {
-        if self.closing.get() {
-            self.bell.notify(usize::MAX);
-        }
-    }
-
-    /// Until connections are to close and this one, by `idle`, may.
-    pub async fn left(&self, idle: impl Fn() -> bool) {
-        loop {
-            let heard = self.bell.listen();
-            if self.closing.get() && idle() {
-                return;
-            }
-            heard.await;
-        }
+    /// Until connections are to close.
+    pub async fn closing(&self) {
+        self.until(|| self.closing.get()).await;
     }
 
-    async fn empty(&self) {
+    async fn until(&self, so: impl Fn() -> bool) {
         loop {
             let heard = self.bell.listen();
-            if self.clients.get() == 0 {
+            if so() {
                 return;
             }
             heard.await;
@@ -86,7 +74,7 @@
         let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| fault("signals", e))?;
         module.try_send(Event::Roster(told.known)).map_err(|e| e.to_string())?;
         executor.spawn(decide(gateway, shared.clone(), events)).detach();
-        let follow = list::follow(told.names, told.index, told.rev, module, log.clone());
+        let follow = list::follow(told.listen.ip(), told.names, told.index, told.rev, module, log.clone());
         let list_log = log.clone();
         let follow = async move {
             if let Err(e) = follow.await {
@@ -124,7 +112,7 @@
         drop(listener);
         leaving.closing.set(true);
         leaving.bell.notify(usize::MAX);
-        leaving.empty().await;
+        leaving.until(|| leaving.clients.get() == 0).await;
         info!(log, "all is answered");
         Ok(())
     }))
--- a/crates/protocol/src/dns.rs
+++ b/crates/protocol/src/dns.rs
@@ -18,21 +18,24 @@
     pub priority: u16,
     pub port: u16,
     pub address: Ipv4Addr,
-    texts: &'a [u8],
+    records: &'a [Record],
+    message: &'a [u8],
 }
 
 impl<'a> Host<'a> {
-    /// The value of a text record of the form `name=value`.
+    /// The value of a text `name=value` among the host's text records.
     pub fn text(&self, name: &str) -> Option<&'a str> {
-        let mut rest = self.texts;
-        while let Some((&n, after)) = rest.split_first() {
-            let (text, next) = after.split_at_checked(n as usize)?;
-            if let Some(v) = text.strip_prefix(name.as_bytes()).and_then(|v| v.strip_prefix(b"=")) {
-                return std::str::from_utf8(v).ok();
+        self.records.iter().filter(|r| r.kind == TXT).find_map(|r| {
+            let mut rest = self.message.get(r.data..r.data + r.length)?;
+            while let Some((&n, after)) = rest.split_first() {
+                let (text, next) = after.split_at_checked(n as usize)?;
+                if let Some(v) = text.strip_prefix(name.as_bytes()).and_then(|v| v.strip_prefix(b"=")) {
+                    return std::str::from_utf8(v).ok();
+                }
+                rest = next;
             }
-            rest = next;
-        }
-        None
+            None
+        })
     }
 }
 
@@ -126,12 +129,17 @@
         let after = name(m, name(m, r.data, &mut String::new())?, &mut String::new())?;
         u32_at(m, after)
     })?;
+    // By owner, so that a long list is not searched once a host.
+    records.sort_by(|a, b| a.owner.cmp(&b.owner));
+    let of = |owner: &str| {
+        let from = records.partition_point(|r| r.owner.as_str() < owner);
+        &records[from..from + records[from..].partition_point(|r| r.owner == owner)]
+    };
     let mut target = String::new();
     for srv in records.iter().filter(|r| r.kind == SRV && r.length > 6) {
         name(m, srv.data + 6, &mut target)?;
-        let of = |kind: u16| records.iter().find(|r| r.kind == kind && r.owner == target);
-        let a = of(A).filter(|r| r.length == 4)?;
-        let texts = of(TXT).map_or(&[][..], |r| &m[r.data..r.data + r.length]);
+        let own = of(&target);
+        let a = own.iter().find(|r| r.kind == A && r.length == 4)?;
         let mut labels = target.split('.');
         each(Host {
             name: labels.next()?,
@@ -139,7 +147,8 @@
             priority: u16_at(m, srv.data)?,
             port: u16_at(m, srv.data + 4)?,
             address: Ipv4Addr::from(u32_at(m, a.data)?),
-            texts,
+            records: own,
+            message: m,
         });
     }
     Some(serial)
