--- /dev/null
+++ b/crates/gateway/tests/serve.rs
@@ -0,0 +1,367 @@
+//! The built gateway between stand-ins of its own on loopback: a client, engines, a name service.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Seen = Arc<Mutex<Vec<String>>>;
+
+/// An engine that answers each line as `act` says: bytes to send, and whether to end the connection then.
+fn engine(act: impl Fn(&str, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> (SocketAddr, Seen) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (at, seen, act) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(act));
+    let lines = seen.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (act, lines) = (act.clone(), lines.clone());
+            thread::spawn(move || {
+                let (mut to, mut from) = (stream.try_clone().unwrap(), BufReader::new(stream));
+                let mut line = String::new();
+                while from.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let mut body = String::new();
+                    if line.starts_with("fetch") {
+                        let n: usize = line.split_whitespace().last().unwrap().parse().unwrap();
+                        let mut bytes = vec![0; n + 2];
+                        from.read_exact(&mut bytes).unwrap();
+                        body = String::from_utf8(bytes).unwrap();
+                    }
+                    lines.lock().unwrap().push(format!("{}{body}", line.trim_end()));
+                    let (answer, end) = act(line.trim_end(), &body);
+                    to.write_all(&answer).unwrap();
+                    if end {
+                        to.shutdown(Shutdown::Both).unwrap();
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    (at, seen)
+}
+
+fn id(line: &str) -> &str {
+    line.split(' ').nth(1).unwrap()
+}
+
+fn done(line: &str, rows: &str) -> Vec<u8> {
+    format!("{} DONE pages=1,cost=5,need=4 {}\r\n{rows}\r\n", id(line), rows.len()).into_bytes()
+}
+
+struct Gateway {
+    process: Child,
+    at: SocketAddr,
+    roster: Arc<Mutex<Vec<u8>>>,
+    dir: std::path::PathBuf,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn names(m: &mut Vec<u8>, name: &str) {
+    for label in name.split('.') {
+        m.push(label.len() as u8);
+        m.extend(label.as_bytes());
+    }
+    m.push(0);
+}
+
+/// The whole list as an answer without its number: engines with their state, under a serial.
+fn answer(serial: u32, engines: &[(&str, SocketAddr, u16)]) -> Vec<u8> {
+    let count = engines.len() as u16;
+    let mut m = vec![0x84, 0, 0, 0];
+    m.extend([count.to_be_bytes(), 1u16.to_be_bytes(), (2 * count).to_be_bytes()].concat());
+    let mut record = |name: &str, kind: u16, data: Vec<u8>| {
+        names(&mut m, name);
+        m.extend(
+            [&kind.to_be_bytes()[..], &[0, 1, 0, 0, 0, 0], &(data.len() as u16).to_be_bytes(), &data]
+                .concat(),
+        );
+    };
+    for (name, at, state) in engines {
+        let mut data = [state.to_be_bytes(), [0, 40], at.port().to_be_bytes()].concat();
+        names(&mut data, &format!("{name}.a.hosts"));
+        record("_data._tcp.farm.lan", 33, data);
+    }
+    let mut soa = vec![0, 0];
+    soa.extend(serial.to_be_bytes());
+    soa.extend([0; 16]);
+    record("farm.lan", 6, soa);
+    for (name, at, _) in engines {
+        let SocketAddr::V4(at) = at else { panic!() };
+        record(&format!("{name}.a.hosts"), 1, at.ip().octets().to_vec());
+        record(&format!("{name}.a.hosts"), 16, b"\x06kind=m\x06cell=0\x09started=0".to_vec());
+    }
+    m
+}
+
+/// Addresses of this test run alone: a port that is free now may be another's a moment later.
+fn own_address() -> SocketAddr {
+    static NTH: AtomicU8 = AtomicU8::new(1);
+    let (pid, nth) = (std::process::id(), NTH.fetch_add(1, Ordering::Relaxed));
+    SocketAddr::from(([127, 64 + (pid >> 8 & 63) as u8, pid as u8, nth], 8080))
+}
+
+fn gateway(test: &str, engines: &[(&str, SocketAddr)]) -> Gateway {
+    let service = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (names, roster) = (service.local_addr().unwrap(), Arc::new(Mutex::new(Vec::new())));
+    let list = roster.clone();
+    thread::spawn(move || {
+        let mut query = [0; 512];
+        while let Ok((_, from)) = service.recv_from(&mut query) {
+            let list = list.lock().unwrap().clone();
+            let _ = service.send_to(&[&query[..2], &list].concat(), from);
+        }
+    });
+    let at = own_address();
+    let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let known = engines.iter().map(|(name, at)| {
+        json!({"instanceId": name, "hostPort": at.to_string(), "zone": "a", "machineType": "m", "cell": 0,
+            "lifecycle": "ready", "weight": 4, "startedAtMs": 0})
+    });
+    let told = json!({"name": "n0", "listen": at.to_string(), "seed": "8c1f30d27a5be964", "names": names.to_string(),
+    "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": known.collect::<Vec<_>>()}}]},
+    "settings": {"classes": [class("lookup"), class("report")], "fleet_size": 2, "machine_types": ["m"],
+        "dcs": ["a"], "registry_mode": "automatic", "resolution_ns": 1e6,
+        "family_info": {"size_cores": [16], "ram_of_kind_mb": [32768.0], "threads_by_class": [1, 1], "lanes_count": true},
+        "guarantees": {"cold_from": 0.3, "warm_after_ns": 15e9, "overload_factor": 4.0, "fall_ns": 1e9},
+        "policy_limits": {"max_attempts": 6, "may_cancel": true, "connect_timeout_ns": 250e6,
+            "keepalive_ns": 30e9, "multiplex": 32}}});
+    let dir = std::env::temp_dir().join(format!("ironstair-{test}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    std::fs::write(dir.join("told.json"), told.to_string()).unwrap();
+    let mut serve = Command::new(env!("CARGO_BIN_EXE_ironstair"));
+    let process = serve.arg("serve").env("ROUTER_CONFIG", dir.join("told.json")).spawn().unwrap();
+    Gateway { process, at, roster, dir }
+}
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn of(gateway: &Gateway) -> Client {
+        let late = Instant::now() + Duration::from_secs(10);
+        loop {
+            match TcpStream::connect(gateway.at) {
+                Ok(s) => {
+                    s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+                    return Client(BufReader::new(s));
+                }
+                Err(e) => assert!(Instant::now() < late, "{e}"),
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+    fn say(&mut self, message: &str) {
+        let framed = format!("Content-Length: {}\r\n\r\n{message}", message.len());
+        self.0.get_mut().write_all(framed.as_bytes()).unwrap();
+    }
+    /// The statement is the text `select 1`.
+    fn ask(&mut self, call: u64) {
+        self.say(&format!(
+            r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{"id":"{call:016x}","wait":4000,"bytes":"c2VsZWN0IDE="}}}}"#
+        ));
+    }
+    fn hear(&mut self) -> Value {
+        let mut head = String::new();
+        self.0.read_line(&mut head).unwrap();
+        let n: usize = head
+            .trim()
+            .strip_prefix("Content-Length: ")
+            .unwrap_or_else(|| panic!("{head:?}"))
+            .parse()
+            .unwrap();
+        let mut message = vec![0; n + 2];
+        self.0.read_exact(&mut message).unwrap();
+        serde_json::from_slice(&message).unwrap()
+    }
+    fn rows(&mut self) -> (u64, Vec<u8>) {
+        use base64::Engine;
+        let answer = self.hear();
+        let text = answer["result"]["bytes"].as_str().unwrap_or_else(|| panic!("{answer}"));
+        (answer["id"].as_u64().unwrap(), base64::engine::general_purpose::STANDARD.decode(text).unwrap())
+    }
+}
+
+fn soon(mut so: impl FnMut() -> bool) -> bool {
+    let late = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < late {
+        if so() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
+
+#[test]
+fn pages_come_to_the_client_in_order_whatever_their_own() {
+    let pages = ["a\tb\tc\n".repeat(999), "d\te\tf\n".repeat(998), "g\th\ti\n".repeat(7)];
+    let all = pages.concat();
+    let (at, seen) = engine(move |line, _| {
+        let page = |n: usize| {
+            let (word, fields) = if n == 0 {
+                ("DONE", "pages=3,cost=81,need=4".into())
+            } else {
+                ("MORE", format!("page={n}"))
+            };
+            format!("{} {word} {fields} {}\r\n{}\r\n", id(line), pages[n].len(), pages[n])
+        };
+        let answer = match line.split(' ').next().unwrap() {
+            "fetch" => page(0),
+            "more" if line.ends_with(" 1") => String::new(),
+            "more" => format!("{}{}", page(2), page(1)),
+            _ => String::new(),
+        };
+        (answer.into_bytes(), false)
+    });
+    let g = gateway("pages", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    c.ask(7);
+    let (call, rows) = c.rows();
+    assert_eq!(call, 7);
+    assert!(rows == all.as_bytes(), "{} bytes of {}", rows.len(), all.len());
+    assert!(soon(|| seen.lock().unwrap().len() == 4));
+    let seen = seen.lock().unwrap();
+    assert!(seen[0].starts_with("fetch 0000000000000007 c=lookup,w="), "{seen:?}");
+    assert!(seen[0].ends_with(" 8select 1\r\n"), "{seen:?}");
+    assert_eq!(seen[3], "done 0000000000000007");
+}
+
+#[test]
+fn failures_before_the_last_row_are_forwarded_again() {
+    // Against answers that began and ended with their engine: nothing of them may reach the client.
+    let (half, _) =
+        engine(|line, _| (format!("{} DONE pages=2,cost=5 2\r\nx\n\r\n", id(line)).into_bytes(), true));
+    let (full, _) = engine(|line, _| (format!("{} WAIT - 0\r\n\r\n", id(line)).into_bytes(), false));
+    let (broke, _) = engine(|line, _| (format!("{} BROKE - 0\r\n\r\n", id(line)).into_bytes(), false));
+    let (spoilt, _) = engine(|line, _| (format!("{} HUH - 0\r\n\r\n", id(line)).into_bytes(), false));
+    let (good, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    for (nth, bad) in [half, full, broke, spoilt, own_address()].into_iter().enumerate() {
+        let g = gateway(&format!("again-{nth}"), &[("e1", bad), ("e2", good)]);
+        let mut c = Client::of(&g);
+        for call in 1..6 {
+            c.ask(call);
+            assert_eq!(c.rows(), (call, b"x\ty\tz\n".to_vec()), "engine {nth}");
+        }
+    }
+}
+
+#[test]
+fn a_call_taken_back_is_given_up_and_never_answered() {
+    let (at, seen) =
+        engine(|line, _| (if line.ends_with("prio=9") { done(line, "") } else { vec![] }, false));
+    let g = gateway("interrupt", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    c.ask(1);
+    assert!(soon(|| seen.lock().unwrap().len() == 1));
+    c.say(r#"{"jsonrpc":"2.0","method":"interrupt","params":{"id":1}}"#);
+    assert!(soon(|| seen.lock().unwrap().last().unwrap() == "abort 0000000000000001"));
+    c.say(r#"{"jsonrpc":"2.0","id":2,"method":"check"}"#);
+    assert_eq!(c.hear(), json!({"jsonrpc": "2.0", "id": 2, "result": {"fit": true}}));
+}
+
+#[test]
+fn what_no_engine_answers_is_turned_back_in_time() {
+    let (at, _) = engine(|_, _| (vec![], false));
+    let g = gateway("silent", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    let started = Instant::now();
+    c.say(
+        r#"{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"id":"00000000000000aa","wait":400,"bytes":""}}"#,
+    );
+    assert_eq!(c.hear()["error"]["code"], -32014);
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+}
+
+#[test]
+fn calls_that_are_none_spoil_nothing_for_others() {
+    let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    let g = gateway("faults", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    c.say("{\"id\":");
+    assert_eq!(c.hear()["error"]["code"], -32700);
+    c.say(r#"{"jsonrpc":"2.0","id":1,"method":"drop"}"#);
+    assert_eq!(c.hear()["error"]["code"], -32601);
+    c.say(r#"{"jsonrpc":"2.0","id":2,"method":"lookup","params":{"id":"short","wait":9,"bytes":""}}"#);
+    assert_eq!(c.hear()["error"]["code"], -32602);
+    let statement = "QUJD".repeat(30_000);
+    c.say(&format!(
+        r#"{{"jsonrpc":"2.0","id":3,"method":"lookup","params":{{"id":"{:016x}","wait":4000,"bytes":"{statement}"}}}}"#,
+        3
+    ));
+    assert_eq!(c.rows().0, 3, "a statement of many buffers");
+    c.ask(4);
+    assert_eq!(c.rows().0, 4);
+}
+
+#[test]
+fn a_client_that_has_sent_its_last_still_gets_its_answers() {
+    let (at, _) = engine(|line, _| {
+        thread::sleep(Duration::from_millis(100));
+        (done(line, "x\ty\tz\n"), false)
+    });
+    let g = gateway("half", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    c.ask(1);
+    c.0.get_mut().shutdown(Shutdown::Write).unwrap();
+    assert_eq!(c.rows().0, 1);
+    assert_eq!(c.0.read(&mut [0; 1]).unwrap(), 0, "then the connection ends");
+}
+
+#[test]
+fn the_name_service_is_followed() {
+    let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
+    let ((old, old_seen), (new, _)) = (answers("old\n"), answers("new\n"));
+    let g = gateway("names", &[("e1", old)]);
+    let mut c = Client::of(&g);
+    c.ask(1);
+    assert_eq!(c.rows(), (1, b"old\n".to_vec()));
+    *g.roster.lock().unwrap() = answer(2, &[("e1", old, 1), ("e2", new, 0)]);
+    let mut call = 1;
+    let mut until = |c: &mut Client, row: &str| {
+        soon(|| {
+            call += 1;
+            c.ask(call);
+            c.rows() == (call, row.as_bytes().to_vec())
+        })
+    };
+    assert!(until(&mut c, "new\n"));
+    let before = old_seen.lock().unwrap().len();
+    for _ in 0..10 {
+        assert!(until(&mut c, "new\n"));
+    }
+    assert_eq!(old_seen.lock().unwrap().len(), before, "nothing new to a draining engine");
+    // Gone, and its address is another's now: what was open with the old one is sent anew.
+    *g.roster.lock().unwrap() = answer(3, &[("e3", old, 0)]);
+    assert!(until(&mut c, "old\n"));
+}
+
+#[test]
+fn told_to_end_it_answers_what_it_has_and_ends_well() {
+    let (at, seen) = engine(|line, _| {
+        thread::sleep(Duration::from_millis(1200));
+        (done(line, "x\ty\tz\n"), false)
+    });
+    let mut g = gateway("drain", &[("e1", at)]);
+    let (mut c, mut idle) = (Client::of(&g), Client::of(&g));
+    c.ask(1);
+    assert!(soon(|| seen.lock().unwrap().len() == 1));
+    Command::new("kill").args(["-TERM", &g.process.id().to_string()]).status().unwrap();
+    thread::sleep(Duration::from_millis(100));
+    let mut late = Client::of(&g);
+    late.say(r#"{"jsonrpc":"2.0","id":1,"method":"check"}"#);
+    assert_eq!(late.hear()["result"]["fit"], false);
+    assert_eq!(idle.0.read(&mut [0; 1]).unwrap(), 0, "idle connections are closed");
+    assert_eq!(c.rows().0, 1);
+    let ended = soon(|| TcpStream::connect(g.at).is_err());
+    assert!(ended && g.process.wait().unwrap().success());
+}
