--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -21,9 +21,18 @@
 pub enum Event {
     Taken(Box<Taken>),
     Left(Id),
-    Ended { id: Id, what: Outcome, rows: Option<Chain> },
-    Report { engine: usize, values: Vec<f64> },
+    Ended {
+        id: Id,
+        what: Outcome,
+        rows: Option<Chain>,
+    },
+    Report {
+        engine: usize,
+        values: Vec<f64>,
+    },
     Roster(BTreeMap<String, Place>),
+    /// By then the process is to have ended.
+    Ending(Ms),
 }
 
 pub struct Taken {
@@ -59,6 +68,7 @@
     names: Door<u64>,
     engines: Vec<Option<Known>>,
     wake: Option<Ms>,
+    ends: Ms,
 }
 
 impl Hands {
@@ -147,6 +157,7 @@
         names: Door::default(),
         engines: Vec::new(),
         wake: None,
+        ends: Ms::INFINITY,
     };
     loop {
         let wake = hands.wake;
@@ -184,6 +195,10 @@
                 gateway.outcome(now, s, what, settled || !open, &mut hands);
             }
             Some(Event::Report { engine, values }) => gateway.report(now, engine, &values, &mut hands),
+            Some(Event::Ending(at)) => {
+                hands.ends = at;
+                gateway.ending(now, at, &mut hands);
+            }
             Some(Event::Roster(lines)) => roster(&mut gateway, &mut hands, lines),
         }
     }
@@ -199,17 +214,17 @@
     if hands.held.len() <= s {
         hands.held.resize_with(s + 1, || None);
     }
-    let waited = hands.now - t.at;
+    let limit = (t.at + t.of.left).min(hands.ends);
     hands.held[s] = Some(Held {
         call: t.call,
         band: t.of.band,
-        limit: t.at + t.of.left,
+        limit,
         statement: Rc::new(t.statement),
         priority: None,
         client: Some(t.client),
         engine: None,
     });
-    gateway.take(hands.now, s, Submission { left: t.of.left - waited, ..t.of }, hands);
+    gateway.take(hands.now, s, Submission { left: limit - hands.now, ..t.of }, hands);
 }
 
 fn roster(gateway: &mut Gateway, hands: &mut Hands, lines: BTreeMap<String, Place>) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,6 +19,11 @@
 
 /// After the word to end, clients go on opening connections and sending for up to 0.6 s.
 const CLIENTS_COME_FOR: f64 = 700.0;
+/// After the word to end, a gateway is left the longest hard limit, but not more than this, and `KILLED_AFTER`.
+const AT_MOST: f64 = 3000.0;
+const KILLED_AFTER: f64 = 700.0;
+/// What writing the last answers may take of that.
+const LAST_WORDS: f64 = 200.0;
 /// What may lie in the module's mailbox before peers wait.
 const MAILBOX: usize = 1024;
 /// Without a free descriptor: how long until the next try.
@@ -106,6 +111,8 @@
             signals.next().await;
             info!(log, "told to end");
             leaving.begun.set(true);
+            let most = shared.carriage.longest.min(AT_MOST) + KILLED_AFTER - LAST_WORDS;
+            let _ = shared.module.send(Event::Ending(shared.clock.now() + most)).await;
             Timer::after(span(CLIENTS_COME_FOR)).await;
         };
         or(accept, told_to_end).await;
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -347,14 +347,17 @@
 
 #[test]
 fn told_to_end_it_answers_what_it_has_and_ends_well() {
+    // The second call would take longer than the gateway is left, and its client would wait: that is turned back.
     let (at, seen) = engine(|line, _| {
         thread::sleep(Duration::from_millis(1200));
-        (done(line, "x\ty\tz\n"), false)
+        (if id(line).ends_with('1') { done(line, "x\ty\tz\n") } else { vec![] }, false)
     });
     let mut g = gateway("drain", &[("e1", at)]);
     let (mut c, mut idle) = (Client::of(&g), Client::of(&g));
     c.ask(1);
     assert!(soon(|| seen.lock().unwrap().len() == 1));
+    c.ask(2);
+    let told = Instant::now();
     Command::new("kill").args(["-TERM", &g.process.id().to_string()]).status().unwrap();
     thread::sleep(Duration::from_millis(100));
     let mut late = Client::of(&g);
@@ -362,6 +365,8 @@
     assert_eq!(late.hear()["result"]["fit"], false);
     assert_eq!(idle.0.read(&mut [0; 1]).unwrap(), 0, "idle connections are closed");
     assert_eq!(c.rows().0, 1);
+    assert_eq!(c.hear()["error"]["code"], -32014);
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
     let ended = soon(|| TcpStream::connect(g.at).is_err());
     assert!(ended && g.process.wait().unwrap().success());
 }
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -74,12 +74,14 @@
     })
 }
 
-/// What carries the forwards: how long to connect, how long an idle connection lives, how many share one.
+/// What the carrying goes by: how long to connect, how long an idle connection lives, how many forwards share
+/// one, and the longest hard limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Carriage {
     pub connect_within: Ms,
     pub idle: Ms,
     pub streams: usize,
+    pub longest: Ms,
 }
 
 pub fn carriage(v: &Value) -> Result<Carriage, String> {
@@ -87,6 +89,9 @@
         connect_within: time(v, "policy_limits.connect_timeout_ns")?,
         idle: time(v, "policy_limits.keepalive_ns")?,
         streams: number(v, "policy_limits.multiplex")?.max(1.0) as usize,
+        longest: list(v, "classes")?
+            .iter()
+            .try_fold(0.0, |l, c| Ok::<_, String>(time(c, "give_up_ns")?.max(l)))?,
     })
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,8 @@
-//! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`]
-//! from what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
-//! `progress`, `report`, `left` or `due`. Each call notes what is new and then goes through `RULES` in order,
-//! from the top again after one that fired, until none does. Actions leave through [`Outlet`] at once.
-//! Where the interface stands: lib.rs has the trait and the types that cross it; door.rs makes the
-//! small indices by which submissions, engines and bands are known here.
+//! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`] from
+//! what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
+//! `report`, `progress`, `left` or `due`, and by `ending` when it will end. Each call notes what is new and
+//! goes through `RULES` in order, from the top again after one that fired, until none does. Actions leave
+//! through [`Outlet`] at once. lib.rs has that and the types that cross; door.rs makes the indices used here.
 
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::collections::{BTreeMap, VecDeque};
@@ -357,6 +356,11 @@
         self.settle(now, out);
     }
 
+    pub fn ending(&mut self, now: Ms, at: Ms, out: &mut dyn Outlet) {
+        self.subs.iter_mut().for_each(|s| s.limit = s.limit.min(at));
+        self.settle(now, out);
+    }
+
     fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
         while RULES.iter().any(|rule| rule(self, out)) {}
@@ -419,7 +423,7 @@
     // Against wide queries that hundreds of gateways send where the others' already run: engines are asked
     // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
-        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks_for(b)) {
+        for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks && self.heavy(b)) {
             let Some(sub) = self.first_in(b) else { continue };
             let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
             let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
@@ -587,10 +591,6 @@
         (self.engines.len() as f64 * LONG_HALF / taken).clamp(TRICKLE, LONG_HALF)
     }
 
-    fn asks_for(&self, b: usize) -> bool {
-        self.asks && self.heavy(b)
-    }
-
     fn heavy(&self, b: usize) -> bool {
         (0..self.bands.len()).any(|o| self.usual_work(o) < self.usual_work(b))
     }
@@ -608,7 +608,8 @@
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let enters = !self.asks_for(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        let enters =
+            !self.asks || !self.heavy(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
@@ -649,8 +650,7 @@
         order.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
     }
 
-    /// The shared order hashed from the table group; among its homes the one with the fewest own
-    /// threads a core; then the others in order.
+    /// By the order hashed from the table group: of its homes the least own threads a core, then the rest.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
         let mut order = self.order(s);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -221,3 +221,14 @@
     });
     assert_eq!(to_bad, 1);
 }
+
+#[test]
+fn what_is_open_is_answered_before_the_gateway_ends() {
+    let mut g = start(two_bands(), 2);
+    assert_eq!(send(&mut g, 1.0, 0, Submission { left: 20_000.0, ..ask(1, 4000.0) }).len(), 1);
+    let mut sheet = Sheet::default();
+    g.ending(2.0, 3000.0, &mut sheet);
+    assert_eq!(sheet.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count(), 0, "not before it must");
+    g.due(2995.0, &mut sheet);
+    assert!(sheet.0.contains(&Act::TurnBack(0, 0.0)), "{:?}", sheet.0);
+}
