--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -250,7 +250,7 @@
                 e.place = place;
             }
             none => {
-                info!(hands.shared.log, "engine {:012x} is {}", id, name);
+                info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
                 let (orders, mailbox) = async_channel::unbounded();
                 let actor = Engine::new(engine, address, hands.shared.clone(), orders.clone());
                 hands.shared.executor.spawn(actor.run(mailbox)).detach();
