--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -24,8 +24,8 @@
     }
 
     /// For timers: the instant of a point in time. Reckoned from the start, not from now, which would be read
-    /// twice and give an earlier one: who is woken before the time asked for finds nothing due, and asks for no
-    /// further wake-up.
+    /// twice and give an earlier one: who is woken before the time asked for finds nothing due, and asks for
+    /// no further wake-up.
     pub fn at(&self, time: Ms) -> Instant {
         self.started + span(time - self.unix)
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,5 +1,5 @@
-//! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of the
-//! pages that have come in.
+//! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of
+//! the pages that have come in.
 
 use crate::clock::Clock;
 use crate::link::{carry, Parcel};
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -1,5 +1,5 @@
-//! The log: lines on standard error, written by a thread of its own; what it can't keep up with is dropped, so
-//! that a full pipe never holds up an answer.
+//! The log: lines on standard error, written by a thread of its own; what it can't keep up with is dropped,
+//! so that a full pipe never holds up an answer.
 
 use slog::{o, Drain, Logger};
 use slog_async::OverflowStrategy;
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -245,7 +245,7 @@
         listed.push(Listed { engine, id, zone, kind, cell, standing, since });
         match &mut hands.engines[engine] {
             Some(e) => {
-                if e.place.address != address || e.place.since != since {
+                if e.place.address != address || (e.place.since - since).abs() >= 1.0 {
                     let _ = e.orders.try_send(Order::Moved(address));
                 }
                 e.place = place;
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -95,12 +95,13 @@
         known.clear();
     }
     for e in pool["instances"].as_array().into_iter().flatten() {
-        let name = text(e, "instanceId")?;
+        // In lower case, like the names that DNS brings.
+        let name = text(e, "instanceId")?.to_ascii_lowercase();
         let standing = match text(e, "lifecycle")? {
             "ready" => Standing::Ready,
             "draining" => Standing::Draining,
             _ => {
-                known.remove(name);
+                known.remove(&name);
                 continue;
             }
         };
@@ -112,7 +113,7 @@
             standing,
             since: e["startedAtMs"].as_f64().unwrap_or(0.0),
         };
-        known.insert(name.to_string(), place);
+        known.insert(name, place);
     }
     Ok(())
 }
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -112,6 +112,10 @@
 }
 
 fn gateway(test: &str, engines: &[(&str, SocketAddr)]) -> Gateway {
+    gateway_among(2, test, engines)
+}
+
+fn gateway_among(gateways: u32, test: &str, engines: &[(&str, SocketAddr)]) -> Gateway {
     let service = UdpSocket::bind("127.0.0.1:0").unwrap();
     let (names, roster) = (service.local_addr().unwrap(), Arc::new(Mutex::new(Vec::new())));
     let list = roster.clone();
@@ -130,11 +134,12 @@
     });
     let told = json!({"name": "n0", "listen": at.to_string(), "seed": "8c1f30d27a5be964", "names": names.to_string(),
     "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": known.collect::<Vec<_>>()}}]},
-    "settings": {"classes": [class("lookup"), class("report")], "fleet_size": 2, "machine_types": ["m"],
+    "settings": {"classes": [class("lookup"), class("report")], "fleet_size": gateways, "machine_types": ["m"],
         "dcs": ["a"], "registry_mode": "automatic", "resolution_ns": 1e6,
-        "family_info": {"size_cores": [16], "ram_of_kind_mb": [32768.0], "threads_by_class": [1, 1], "lanes_count": true},
+        "family_info": {"size_cores": [16], "ram_of_kind_mb": [32768.0], "threads_by_class": [1, 4], "lanes_count": true},
         "guarantees": {"cold_from": 0.3, "warm_after_ns": 15e9, "overload_factor": 4.0, "fall_ns": 1e9},
-        "policy_limits": {"max_attempts": 6, "may_cancel": true, "connect_timeout_ns": 250e6,
+        "report": {"fields": ["concurrent", "load_share"]},
+        "policy_limits": {"max_attempts": 6, "may_cancel": true, "probes": true, "connect_timeout_ns": 250e6,
             "keepalive_ns": 30e9, "multiplex": 32}}});
     let dir = std::env::temp_dir().join(format!("ironstair-{test}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
@@ -166,8 +171,11 @@
     }
     /// The statement is the text `select 1`.
     fn ask(&mut self, call: u64) {
+        self.ask_in("lookup", call);
+    }
+    fn ask_in(&mut self, band: &str, call: u64) {
         self.say(&format!(
-            r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{"id":"{call:016x}","wait":4000,"bytes":"c2VsZWN0IDE="}}}}"#
+            r#"{{"jsonrpc":"2.0","id":{call},"method":"{band}","params":{{"id":"{call:016x}","wait":4000,"bytes":"c2VsZWN0IDE="}}}}"#
         ));
     }
     fn hear(&mut self) -> Value {
@@ -282,6 +290,25 @@
     assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
 }
 
+#[test]
+fn an_engine_is_asked_how_it_is_where_the_module_wants_to_know() {
+    let (at, seen) = engine(|line, _| match line.split_once(' ').unwrap() {
+        ("stats", tag) => (format!("{tag} FIT load=inflight:2;util:0.4 0\r\n\r\n").into_bytes(), false),
+        _ => (done(line, "x\ty\tz\n"), false),
+    });
+    let g = gateway_among(300, "report", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    for call in 1..3 {
+        c.ask(call);
+        assert_eq!(c.rows().0, call);
+    }
+    c.ask_in("report", 3);
+    assert_eq!(c.rows().0, 3);
+    let seen = seen.lock().unwrap();
+    assert_eq!(seen[2], "stats r1");
+    assert!(seen[3].starts_with("fetch 0000000000000003 c=report,"), "{seen:?}");
+}
+
 #[test]
 fn a_silent_connection_is_not_kept_when_a_new_one_would_be_answered() {
     // Against a machine that was cut off: what was open to it stays silent, also once it is back.
