--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -161,10 +161,10 @@
         self.plain(m)
     }
 
-    fn call(&self, at: Ms, call: Option<u64>, method: &[u8], p: rpc::Params) -> Option<Event> {
+    fn call(&self, at: Ms, call: Option<u64>, method: &[u8], p: rpc::Fields) -> Option<Event> {
         match method {
             b"interrupt" => {
-                let gone = self.open.borrow_mut().remove(&p.call?)?;
+                let gone = self.open.borrow_mut().remove(&p.count("id")?)?;
                 self.answered.notify(usize::MAX);
                 return Some(Event::Left(gone));
             }
@@ -178,8 +178,8 @@
         let Some(call) = call else { return self.fault(None, rpc::INVALID) };
         let band = self.shared.bands.iter().position(|b| b.as_bytes() == method);
         let Some(band) = band else { return self.fault(Some(call), rpc::UNKNOWN_METHOD) };
-        let fields = p.id.as_deref().and_then(id).zip(p.left);
-        let statement = p.statement.as_deref().and_then(|s| self.statement(s));
+        let fields = p.text("id").as_deref().and_then(id).zip(p.number("wait"));
+        let statement = p.text("bytes").and_then(|s| self.statement(&s));
         let Some(((id, left), statement)) = fields.zip(statement) else {
             return self.fault(Some(call), rpc::INVALID_FIELDS);
         };
@@ -189,10 +189,10 @@
         let of = Submission {
             band,
             left,
-            work: p.work.filter(|w| *w > 0.0),
-            memory_mb: p.memory_mb.unwrap_or(0.0),
+            work: p.number("cost").filter(|w| *w > 0.0),
+            memory_mb: p.number("ram").unwrap_or(0.0),
             tables: statement::tables(&statement.joined()).unwrap_or(0),
-            later_try: p.later_try,
+            later_try: p.mark("retry"),
             ..Default::default()
         };
         self.open.borrow_mut().insert(call, id);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -36,13 +36,13 @@
 struct Source {
     /// What this gateway is told at start, as JSON
     #[arg(long, env = "ROUTER_CONFIG", value_name = "FILE")]
-    config: PathBuf,
+    told: PathBuf,
 }
 
 fn main() -> ExitCode {
     let done = match Line::parse().job {
-        Job::Serve(from) => told::read(&from.config).and_then(start::serve),
-        Job::Check(from) => told::read(&from.config).map(|t| {
+        Job::Serve(from) => told::read(&from.told).and_then(start::serve),
+        Job::Check(from) => told::read(&from.told).map(|t| {
             println!(
                 "{}: {} bands, {} engines, listens on {}",
                 t.name,
--- a/crates/protocol/src/json.rs
+++ b/crates/protocol/src/json.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// The next value as it stands.
+    pub fn raw(&mut self) -> Option<&'a [u8]> {
+        self.peek()?;
+        let from = self.at;
+        self.skip(0)?;
+        self.bytes.get(from..self.at)
+    }
+
     pub fn skip(&mut self, depth: usize) -> Option<()> {
         if depth > DEEPEST {
             return None;
--- a/crates/protocol/src/rpc.rs
+++ b/crates/protocol/src/rpc.rs
@@ -16,17 +16,35 @@
 pub const UNKNOWN_METHOD: i32 = -32601;
 pub const INVALID_FIELDS: i32 = -32602;
 
-/// A submission's fields, as far as they are there.
-#[derive(Default)]
-pub struct Params<'a> {
-    pub id: Option<Cow<'a, [u8]>>,
-    pub call: Option<u64>,
-    pub left: Option<f64>,
-    pub later_try: bool,
-    pub work: Option<f64>,
-    pub memory_mb: Option<f64>,
-    pub key: Option<Cow<'a, [u8]>>,
-    pub statement: Option<Cow<'a, [u8]>>,
+/// A call's fields, looked up by name in the message itself.
+#[derive(Clone, Copy)]
+pub struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn find<T>(&self, name: &str, read: impl Fn(&mut Reader<'a>) -> Option<T>) -> Option<T> {
+        let mut found = None;
+        // Stops at a value that is not of the kind asked for; the message as a whole was gone through before.
+        Reader::new(self.0).object(|key, r| {
+            if key == name.as_bytes() {
+                found = Some(read(r)?);
+                return Some(());
+            }
+            r.skip(0)
+        });
+        found
+    }
+    pub fn text(&self, name: &str) -> Option<Cow<'a, [u8]>> {
+        self.find(name, Reader::text)
+    }
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.find(name, Reader::number)
+    }
+    pub fn count(&self, name: &str) -> Option<u64> {
+        self.find(name, Reader::count)
+    }
+    pub fn mark(&self, name: &str) -> bool {
+        self.find(name, Reader::mark).unwrap_or(false)
+    }
 }
 
 /// Length of the head and of the message behind it; none while the head is not whole.
@@ -54,16 +72,16 @@
 /// Hands a message's call number, method and fields to `take`; the error says what it is no call for.
 pub fn read<'a, T>(
     message: &'a [u8],
-    take: impl FnOnce(Option<u64>, &[u8], Params<'a>) -> T,
+    take: impl FnOnce(Option<u64>, &[u8], Fields<'a>) -> T,
 ) -> Result<T, (Option<u64>, i32)> {
-    let (mut call, mut method, mut params) = (None, None, Params::default());
+    let (mut call, mut method, mut fields) = (None, None, Fields(b"{}"));
     let mut r = Reader::new(message);
     let whole = r.object(|key, r| {
         match key {
             b"id" if r.peek()? == b'n' => r.skip(0)?,
             b"id" => call = Some(r.count()?),
             b"method" => method = Some(r.text()?),
-            b"params" if r.peek()? == b'{' => fields(r, &mut params)?,
+            b"params" => fields = Fields(r.raw()?),
             _ => r.skip(0)?,
         }
         Some(())
@@ -72,24 +90,7 @@
         return Err((call, UNREADABLE));
     }
     let method = method.ok_or((call, INVALID))?;
-    Ok(take(call, &method, params))
-}
-
-fn fields<'a>(r: &mut Reader<'a>, p: &mut Params<'a>) -> Option<()> {
-    r.object(|key, r| {
-        match key {
-            b"id" if r.peek()? == b'"' => p.id = Some(r.text()?),
-            b"id" => p.call = Some(r.count()?),
-            b"wait" => p.left = Some(r.number()?),
-            b"retry" => p.later_try = r.mark()?,
-            b"cost" => p.work = Some(r.number()?),
-            b"ram" => p.memory_mb = Some(r.number()?),
-            b"key" => p.key = Some(r.text()?),
-            b"bytes" => p.statement = Some(r.text()?),
-            _ => r.skip(0)?,
-        }
-        Some(())
-    })
+    Ok(take(call, &method, fields))
 }
 
 /// A result begins with this and ends with `RESULT_END`; between them stands text of `length` bytes.
