--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -121,7 +121,8 @@
         let mut chain = Chain::default();
         let mut missing = length;
         while missing > 0 {
-            let mut part = self.shared.pool.spare().await;
+            // Not waited for: many that each wait for one more would wait for each other.
+            let mut part = self.shared.pool.lend().ok_or(io::ErrorKind::OutOfMemory)?;
             let most = missing.min(part.space().len());
             let n = if first.bytes().is_empty() {
                 (&mut &*stream).read(&mut part.space()[..most]).await?
