Bounded mailboxes; buffers and connections by the limits told; a page out of turn ends its connection

A full engine mailbox is an unsent forward; a client that reads none of 128 answers, or not one within the longest hard limit, loses its connection; a head that can't be read gets an error before the connection is closed, once what is open is answered.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,11 +1,12 @@
 //! A client connection's actor: reads submissions, writes answers, each way by itself.
 
+use crate::clock::span;
 use crate::engine::Shared;
 use crate::module::{Event, Id, Taken};
 use crate::pool::{Buffer, Chain, SIZE};
 use crate::start::Leaving;
 use async_channel::{Receiver, Sender};
-use async_io::Async;
+use async_io::{Async, Timer};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use event_listener::Event as Bell;
@@ -20,6 +21,11 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 
+/// Open calls on one connection: twice as many as clients keep to.
+const OPEN_MOST: usize = 64;
+/// Answers that wait to be written: a client that reads none of so many loses its connection.
+const MAILBOX: usize = 2 * OPEN_MOST;
+
 pub enum Reply {
     Settled(u64, Chain),
     TurnedBack(u64, Ms),
@@ -41,7 +47,7 @@
 
 pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, leaving: Rc<Leaving>) {
     let _ = stream.get_ref().set_nodelay(true);
-    let (own, replies) = async_channel::unbounded();
+    let (own, replies) = async_channel::bounded(MAILBOX);
     let (open, writing, answered) = (RefCell::default(), Cell::new(false), Bell::new());
     let client = Client { shared, leaving, own, open, writing, answered };
     let _ = or(client.read(&stream), client.write(&stream, replies)).await;
@@ -97,6 +103,9 @@
                     Ok(None) => break,
                     Err(e) => {
                         warn!(self.shared.log, "client's head can't be read"; "what" => %e);
+                        // Where the next message begins is not known; what is open is still answered.
+                        self.fault(None, rpc::UNREADABLE);
+                        self.quiet().await;
                         return Err(e);
                     }
                 };
@@ -152,7 +161,9 @@
     }
 
     fn plain(&self, message: Vec<u8>) -> Option<Event> {
-        let _ = self.own.try_send(Reply::Plain(message));
+        if self.own.try_send(Reply::Plain(message)).is_err() {
+            self.own.close();
+        }
         None
     }
 
@@ -180,13 +191,25 @@
         let band = self.shared.bands.iter().position(|b| b.as_bytes() == method);
         let Some(band) = band else { return self.fault(Some(call), rpc::UNKNOWN_METHOD) };
         let fields = p.text("id").as_deref().and_then(id).zip(p.number("wait"));
-        let statement = p.text("bytes").and_then(|s| self.statement(&s));
-        let Some(((id, left), statement)) = fields.zip(statement) else {
+        let Some(((id, left), text)) = fields.zip(p.text("bytes")) else {
             return self.fault(Some(call), rpc::INVALID_FIELDS);
         };
         if self.open.borrow().contains_key(&call) {
             return self.fault(None, rpc::INVALID);
         }
+        if self.open.borrow().len() >= OPEN_MOST {
+            return self.fault(Some(call), rpc::INVALID);
+        }
+        let statement = match self.statement(&text) {
+            Ok(Some(statement)) => statement,
+            Ok(None) => return self.fault(Some(call), rpc::INVALID_FIELDS),
+            // No buffer is left for it, and it has been nowhere yet.
+            Err(_) => {
+                let mut m = Vec::new();
+                rpc::error(&mut m, Some(call), rpc::TURNED_BACK, "turned back", 0.0);
+                return self.plain(m);
+            }
+        };
         let of = Submission {
             band,
             left,
@@ -200,15 +223,16 @@
         Some(Event::Taken(Box::new(Taken { id, call, of, at, statement, client: self.own.clone() })))
     }
 
-    fn statement(&self, text: &[u8]) -> Option<Chain> {
+    /// None when it is no base64; an error when all buffers are lent.
+    fn statement(&self, text: &[u8]) -> io::Result<Option<Chain>> {
         let mut chain = Chain::default();
         for part in text.chunks(SIZE / 4 * 4) {
-            let mut b = self.shared.pool.lend()?;
-            let n = STANDARD.decode_slice(part, b.space()).ok()?;
+            let mut b = self.shared.pool.lend().ok_or(io::ErrorKind::OutOfMemory)?;
+            let Ok(n) = STANDARD.decode_slice(part, b.space()) else { return Ok(None) };
             b.filled(n);
             chain.0.push(b);
         }
-        Some(chain)
+        Ok(Some(chain))
     }
 
     async fn write(&self, stream: &Async<TcpStream>, replies: Receiver<Reply>) -> io::Result<()> {
@@ -228,16 +252,24 @@
                 }
                 Reply::Plain(_) => None,
             };
-            match reply {
-                Reply::Settled(call, rows) => self.settled(stream, &mut out, call, rows).await?,
-                Reply::TurnedBack(_, after) => {
-                    rpc::error(&mut out, call, rpc::TURNED_BACK, "turned back", after)
+            // A client that does not read is not waited for longer than any client waits.
+            let late = async {
+                Timer::after(span(self.shared.carriage.longest)).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            let written = async {
+                match reply {
+                    Reply::Settled(call, rows) => self.settled(stream, &mut out, call, rows).await?,
+                    Reply::TurnedBack(_, after) => {
+                        rpc::error(&mut out, call, rpc::TURNED_BACK, "turned back", after)
+                    }
+                    Reply::Scrapped(_) => rpc::error(&mut out, call, rpc::SCRAPPED, "scrapped", 0.0),
+                    Reply::Unusable(_) => rpc::error(&mut out, call, rpc::INVALID_FIELDS, "id in use", 0.0),
+                    Reply::Plain(message) => out = message,
                 }
-                Reply::Scrapped(_) => rpc::error(&mut out, call, rpc::SCRAPPED, "scrapped", 0.0),
-                Reply::Unusable(_) => rpc::error(&mut out, call, rpc::INVALID_FIELDS, "id in use", 0.0),
-                Reply::Plain(message) => out = message,
-            }
-            (&mut &*stream).write_all(&out).await?;
+                (&mut &*stream).write_all(&out).await
+            };
+            or(written, late).await?;
             call.and_then(|c| self.open.borrow_mut().remove(&c));
             self.writing.set(false);
             self.answered.notify(usize::MAX);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -19,8 +19,6 @@
 
 /// More pages than the longest result has.
 const PAGES_MOST: usize = 64;
-/// With so many connections, a silent one is used again before another is opened.
-const LINKS_MOST: usize = 16;
 /// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
 const IDLE_SHARE: f64 = 0.75;
 
@@ -29,9 +27,6 @@
     Withdraw(Id),
     Priority(Id, u8),
     Report,
-    /// It starts anew, maybe elsewhere: connections to the process before lead nowhere.
-    Moved(SocketAddr),
-    Gone,
     Up(u64),
     Came(u64, Buffer),
     Down(u64, Outcome),
@@ -76,6 +71,8 @@
     /// The bands' expected times.
     pub expected: Vec<Ms>,
     pub carriage: Carriage,
+    /// With so many connections to an engine, a silent one is used again before another is opened.
+    pub links_most: usize,
     pub log: Logger,
     pub module: Sender<Event>,
     pub executor: Rc<LocalExecutor<'static>>,
@@ -107,17 +104,24 @@
     pub async fn run(mut self, orders: Receiver<Order>) {
         loop {
             let due = self.due();
-            let order = or(async { orders.recv().await.ok() }, async {
+            let order = or(async { orders.recv().await.map(Some) }, async {
                 match due {
                     Some(at) => Timer::at(self.shared.clock.at(at)).await,
                     None => std::future::pending().await,
                 };
-                None
+                Ok(None)
             });
-            let gone = match order.await {
-                Some(order) => self.follow(order),
-                None => self.expire(),
-            };
+            let order = order.await;
+            let gone = order.is_err();
+            match order {
+                Ok(Some(order)) => self.follow(order),
+                Ok(None) => self.expire(),
+                // Closed by the module's actor: this process of the engine is over, and its connections lead nowhere.
+                Err(_) => {
+                    let all: Vec<u64> = self.links.keys().copied().collect();
+                    all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
+                }
+            }
             for event in self.events.drain(..) {
                 if self.shared.module.send(event).await.is_err() {
                     return;
@@ -129,7 +133,7 @@
         }
     }
 
-    fn follow(&mut self, order: Order) -> bool {
+    fn follow(&mut self, order: Order) {
         match order {
             Order::Forward(of) => self.forward(of),
             Order::Withdraw(id) => {
@@ -165,18 +169,8 @@
                 let link = self.link();
                 self.say(link, line, None);
             }
-            Order::Moved(to) => {
-                self.address = to;
-                let all: Vec<u64> = self.links.keys().copied().collect();
-                all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
-            }
-            Order::Gone => {
-                let all: Vec<u64> = self.links.keys().copied().collect();
-                all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
-                return true;
-            }
             Order::Up(link) => {
-                let Some(l) = self.links.get_mut(&link) else { return false };
+                let Some(l) = self.links.get_mut(&link) else { return };
                 (l.up, l.heard) = (true, self.shared.clock.now());
                 for id in std::mem::take(&mut l.waiting) {
                     self.send(&id);
@@ -185,7 +179,6 @@
             Order::Came(link, buffer) => self.came(link, buffer),
             Order::Down(link, how) => self.drop_link(link, how),
         }
-        false
     }
 
     /// The connection with the fewest open forwards that may take one more, else a new one.
@@ -194,7 +187,9 @@
         let silent: Vec<u64> = self.flights.values().filter(|f| self.unheard(f)).map(|f| f.link).collect();
         let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage.streams);
         let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), !l.1.up, l.1.open);
-        if let Some(l) = room.min_by_key(rank).filter(|l| !rank(l).0 || self.links.len() >= LINKS_MOST) {
+        if let Some(l) =
+            room.min_by_key(rank).filter(|l| !rank(l).0 || self.links.len() >= self.shared.links_most)
+        {
             return *l.0;
         }
         self.opened += 1;
@@ -288,8 +283,11 @@
     }
 
     fn answer(&mut self, link: u64, id: &[u8], word: Word, fields: Fields, body: &[u8]) {
-        let values: Vec<f64> = fields.load().collect();
-        if !values.is_empty() {
+        // By the names told at start; where the engine has others, in the order that it tells them.
+        let named = |n: &String| fields.load().find(|l| l.0 == n.as_bytes()).map(|l| l.1);
+        let values: Option<Vec<f64>> = self.shared.carriage.reports.iter().map(named).collect();
+        let values = values.unwrap_or_else(|| fields.load().map(|l| l.1).collect());
+        if !values.is_empty() && fields.load().next().is_some() {
             self.events.push(Event::Report { engine: self.index, values });
         }
         if matches!(word, Word::Fit | Word::Unfit) {
@@ -320,7 +318,8 @@
             b.append(body);
             *at = Some(b);
         } else {
-            return self.end(&id, Outcome::Error, None);
+            // Out of turn, or no room for it: pages that still come must not be taken for the next forward's.
+            return self.drop_link(link, Outcome::Reset);
         }
         if f.pages.iter().all(Option::is_some) {
             let (rows, work) = (std::mem::take(&mut f.pages), f.work);
@@ -364,7 +363,7 @@
         self.flights.values().map(|f| f.of.limit).chain(idle).min_by(f64::total_cmp)
     }
 
-    fn expire(&mut self) -> bool {
+    fn expire(&mut self) {
         let now = self.shared.clock.now();
         let late = self.flights.iter().filter(|f| f.1.of.limit <= now);
         let late: Vec<Id> = late.map(|f| *f.0).collect();
@@ -372,6 +371,5 @@
         let idle = self.links.iter().filter(|l| self.idle_until(l.1).is_some_and(|t| t <= now));
         let idle: Vec<u64> = idle.map(|l| *l.0).collect();
         idle.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
-        false
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -35,7 +35,7 @@
 #[derive(clap::Args)]
 struct Source {
     /// What this gateway is told at start, as JSON
-    #[arg(long, env = "ROUTER_CONFIG", value_name = "FILE")]
+    #[arg(env = "ROUTER_CONFIG", value_name = "FILE")]
     told: PathBuf,
 }
 
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -15,6 +15,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// What may lie in an engine's mailbox: beyond that nothing is sent there, and the module is told so.
+const MAILBOX: usize = 4096;
+
 /// A submission's id as its client wrote it.
 pub type Id = [u8; 16];
 
@@ -65,6 +68,7 @@
     now: Ms,
     subs: Door<Id>,
     held: Vec<Option<Held>>,
+    open: usize,
     names: Door<u64>,
     engines: Vec<Option<Known>>,
     wake: Option<Ms>,
@@ -76,8 +80,10 @@
     fn answer(&mut self, submission: usize, reply: impl FnOnce(u64) -> Reply) -> bool {
         let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return false };
         let Some(client) = h.client.take() else { return false };
-        // A client whose connection is gone needs no answer.
-        let _ = client.try_send(reply(h.call));
+        // A client whose connection is gone needs no answer; one that reads none of so many loses its connection.
+        if client.try_send(reply(h.call)).is_err() {
+            client.close();
+        }
         true
     }
 
@@ -97,7 +103,7 @@
         let of = Forward { id, band, statement, priority, expected, limit };
         if !self.order(engine, Order::Forward(of)) {
             // Nobody is there to tell how it ended.
-            let ended = Event::Ended { id, what: Outcome::NoConnection, rows: None };
+            let ended = Event::Ended { id, what: Outcome::Unsent, rows: None };
             let module = self.shared.module.clone();
             self.shared.executor.spawn(async move { module.send(ended).await.unwrap_or(()) }).detach();
         }
@@ -137,8 +143,8 @@
         info!(self.shared.log, "{}", text);
     }
     fn forget(&mut self, submission: usize) {
-        if let Some(held) = self.held.get_mut(submission) {
-            *held = None;
+        if self.held.get_mut(submission).is_some_and(|held| held.take().is_some()) {
+            self.open -= 1;
         }
         self.subs.release(submission);
     }
@@ -155,6 +161,7 @@
         shared,
         subs: Door::default(),
         held: Vec::new(),
+        open: 0,
         names: Door::default(),
         engines: Vec::new(),
         wake: None,
@@ -211,6 +218,12 @@
         let _ = t.client.try_send(Reply::Unusable(t.call));
         return;
     }
+    if hands.open >= hands.shared.carriage.most_open {
+        // The bound on open submissions that the settings name: at the door, before it is the module's.
+        let _ = t.client.try_send(Reply::TurnedBack(t.call, 0.0));
+        return;
+    }
+    hands.open += 1;
     let s = hands.subs.admit(t.id);
     if hands.held.len() <= s {
         hands.held.resize_with(s + 1, || None);
@@ -231,7 +244,7 @@
 fn roster(gateway: &mut Gateway, hands: &mut Hands, lines: BTreeMap<String, Place>) {
     for at in 0..hands.engines.len() {
         if let Some(e) = hands.engines[at].take_if(|e| !lines.contains_key(&e.name)) {
-            let _ = e.orders.try_send(Order::Gone);
+            e.orders.close();
         }
     }
     let mut listed = Vec::new();
@@ -243,21 +256,21 @@
         }
         let Place { zone, kind, cell, standing, since, address } = place;
         listed.push(Listed { engine, id, zone, kind, cell, standing, since });
-        match &mut hands.engines[engine] {
-            Some(e) => {
-                if e.place.address != address || (e.place.since - since).abs() >= 1.0 {
-                    let _ = e.orders.try_send(Order::Moved(address));
-                }
-                e.place = place;
-            }
-            none => {
-                info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
-                let (orders, mailbox) = async_channel::unbounded();
-                let actor = Engine::new(engine, address, hands.shared.clone(), orders.clone());
-                hands.shared.executor.spawn(actor.run(mailbox)).detach();
-                *none = Some(Known { name, place, orders });
-            }
+        let known = &mut hands.engines[engine];
+        // Another process by now, maybe elsewhere.
+        let anew = |e: &Known| e.place.address != address || (e.place.since - since).abs() >= 1.0;
+        if let Some(e) = known.take_if(|e| anew(e)) {
+            e.orders.close();
+        }
+        if let Some(e) = known {
+            e.place = place;
+            continue;
         }
+        info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
+        let (orders, mailbox) = async_channel::bounded(MAILBOX);
+        let actor = Engine::new(engine, address, hands.shared.clone(), orders.clone());
+        hands.shared.executor.spawn(actor.run(mailbox)).detach();
+        *known = Some(Known { name, place, orders });
     }
     gateway.roster(hands.now, true, &listed, hands);
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,14 +7,10 @@
 
 /// Holds an engine's longest answer with its line.
 pub const SIZE: usize = 8 * 1024;
-/// The most that are ever made: half a gateway's memory at the least limit that we serve under.
-const MOST: usize = 8 * 1024;
-/// Left to what is under way when new work has to wait for buffers: against answers that wait for the room
-/// that only their own end would give back.
-const KEPT: usize = MOST / 2;
-
-#[derive(Default)]
 pub struct Pool {
+    /// The most that are ever made. Half of them are left to what is under way when new work has to wait:
+    /// against answers that wait for the room that only their own end would give back.
+    most: usize,
     free: RefCell<Vec<Box<[u8]>>>,
     lent: Cell<usize>,
     back: Event,
@@ -28,9 +24,14 @@
 }
 
 impl Pool {
+    pub fn of(bytes: usize) -> Rc<Self> {
+        let most = (bytes / SIZE).max(2);
+        Rc::new(Pool { most, free: RefCell::default(), lent: Cell::new(0), back: Event::new() })
+    }
+
     /// A buffer for what is under way; none when all are lent.
     pub fn lend(self: &Rc<Self>) -> Option<Buffer> {
-        (self.lent.get() < MOST).then(|| {
+        (self.lent.get() < self.most).then(|| {
             self.lent.set(self.lent.get() + 1);
             let bytes = self.free.borrow_mut().pop();
             let bytes = bytes.unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
@@ -42,7 +43,7 @@
     pub async fn spare(self: &Rc<Self>) -> Buffer {
         loop {
             let heard = self.back.listen();
-            if self.lent.get() < MOST - KEPT {
+            if self.lent.get() < self.most - self.most / 2 {
                 if let Some(b) = self.lend() {
                     return b;
                 }
@@ -126,22 +127,22 @@
 
     #[test]
     fn new_work_waits_while_what_is_under_way_still_gets_buffers() {
-        let pool = Rc::<Pool>::default();
-        let mut lent: Vec<Buffer> = (0..MOST - KEPT).filter_map(|_| pool.lend()).collect();
+        let pool = Pool::of(100 * SIZE);
+        let mut lent: Vec<Buffer> = (0..50).filter_map(|_| pool.lend()).collect();
         assert!(block_on(poll_once(pool.spare())).is_none());
-        lent.extend((0..KEPT).filter_map(|_| pool.lend()));
-        assert_eq!((lent.len(), pool.lend().is_none()), (MOST, true));
-        lent.truncate(MOST - KEPT - 1);
+        lent.extend((0..50).filter_map(|_| pool.lend()));
+        assert_eq!((lent.len(), pool.lend().is_none()), (100, true));
+        lent.truncate(49);
         assert!(block_on(poll_once(pool.spare())).is_some());
     }
 
     #[test]
     fn a_buffer_that_is_used_up_from_the_front_has_its_room_again() {
-        let mut b = Rc::<Pool>::default().lend().unwrap();
+        let mut b = Pool::of(SIZE).lend().unwrap();
         assert_eq!(b.append(&[1; SIZE + 1]), SIZE);
         b.consume(SIZE - 1);
         assert_eq!((b.append(&[2; 9]), b.bytes()), (9, &[1, 2, 2, 2, 2, 2, 2, 2, 2, 2][..]));
-        let chain = Chain(vec![b, Rc::<Pool>::default().lend().unwrap()]);
+        let chain = Chain(vec![b, Pool::of(SIZE).lend().unwrap()]);
         assert_eq!((chain.len(), chain.joined().len()), (10, 10));
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -3,6 +3,7 @@
 use crate::clock::{span, Clock};
 use crate::engine::Shared;
 use crate::module::{decide, Event};
+use crate::pool::Pool;
 use crate::told::Told;
 use crate::{client, list, log};
 use async_executor::LocalExecutor;
@@ -67,7 +68,9 @@
     let gateway = Gateway::new(told.mandate, told.seed);
     let shared = Rc::new(Shared {
         clock: Clock::start(),
-        pool: Rc::default(),
+        // A third: what else there is grows with it, statements joined and answers being written.
+        pool: Pool::of((told.memory_mb * 1e6 / 3.0) as usize),
+        links_most: (told.descriptors / 64).max(2),
         bands: told.bands,
         expected,
         carriage: told.carriage,
@@ -92,8 +95,11 @@
         info!(log, "serving"; "on" => told.listen);
 
         let leaving = Rc::new(Leaving::default());
+        // Clients keep to a third of the descriptors; what is beyond waits until one has left.
+        let most = (told.descriptors / 2).max(1);
         let accept = async {
             loop {
+                leaving.until(|| leaving.clients.get() < most).await;
                 match listener.accept().await {
                     Ok((stream, _)) => {
                         let (shared, leaving) = (shared.clone(), leaving.clone());
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -7,6 +7,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Where no limits are told: the least that we serve under.
+const MEMORY_MB: f64 = 192.0;
+const DESCRIPTORS: f64 = 1024.0;
+
 /// One engine of the roster.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
@@ -42,6 +46,9 @@
     pub listen: SocketAddr,
     pub names: SocketAddr,
     pub seed: u64,
+    /// Memory in MB and file descriptors that this process may hold.
+    pub memory_mb: f64,
+    pub descriptors: usize,
     pub mandate: Mandate,
     pub carriage: Carriage,
     pub bands: Vec<String>,
@@ -80,6 +87,8 @@
         listen: address(&v, "listen")?,
         names: address(&v, "names")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hexadecimal number: {seed}"))?,
+        memory_mb: v["limits"]["memory_mb"].as_f64().unwrap_or(MEMORY_MB),
+        descriptors: v["limits"]["sockets"].as_f64().unwrap_or(DESCRIPTORS) as usize,
         mandate: mandate(settings).map_err(|e| format!("settings: {e}"))?,
         carriage: carriage(settings).map_err(|e| format!("settings: {e}"))?,
         bands: bands(settings).map_err(|e| format!("settings: {e}"))?,
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -75,13 +75,15 @@
 }
 
 /// What the carrying goes by: how long to connect, how long an idle connection lives, how many forwards share
-/// one, and the longest hard limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// one, how many submissions may be open, the longest hard limit, and what an engine's report names.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Carriage {
     pub connect_within: Ms,
     pub idle: Ms,
     pub streams: usize,
+    pub most_open: usize,
     pub longest: Ms,
+    pub reports: Vec<String>,
 }
 
 pub fn carriage(v: &Value) -> Result<Carriage, String> {
@@ -89,6 +91,8 @@
         connect_within: time(v, "policy_limits.connect_timeout_ns")?,
         idle: time(v, "policy_limits.keepalive_ns")?,
         streams: number(v, "policy_limits.multiplex")?.max(1.0) as usize,
+        most_open: number_or(v, "policy_limits.max_open", f64::MAX)? as usize,
+        reports: names(v, "report.fields").unwrap_or_default(),
         longest: list(v, "classes")?
             .iter()
             .try_fold(0.0, |l, c| Ok::<_, String>(time(c, "give_up_ns")?.max(l)))?,
--- a/crates/protocol/src/lines.rs
+++ b/crates/protocol/src/lines.rs
@@ -29,10 +29,13 @@
     pub fn number(&self, name: &str) -> Option<f64> {
         number(self.text(name)?)
     }
-    /// The values of a load report, in the order told.
-    pub fn load(&self) -> impl Iterator<Item = f64> + 'a {
+    /// Names and values of a load report, in the order told.
+    pub fn load(&self) -> impl Iterator<Item = (&'a [u8], f64)> {
         let pairs = self.text("load").unwrap_or_default().split(|b| *b == b';');
-        pairs.filter_map(|p| number(p.splitn(2, |b| *b == b':').nth(1)?))
+        pairs.filter_map(|p| {
+            let colon = p.iter().position(|b| *b == b':')?;
+            Some((&p[..colon], number(&p[colon + 1..])?))
+        })
     }
 }
 
--- a/crates/protocol/tests/parsers.rs
+++ b/crates/protocol/tests/parsers.rs
@@ -71,7 +71,7 @@
     let taken = lines::read(all, |id, word, fields, body| {
         assert_eq!((id, word, body), (&b"9b1f03aa5c7e2d41"[..], lines::Word::Done, &b"a\tb\r\n"[..]));
         assert_eq!((fields.number("pages"), fields.number("cost")), (Some(3.0), Some(81.5)));
-        assert_eq!(fields.load().collect::<Vec<_>>(), [7.0, 0.61]);
+        assert_eq!(fields.load().collect::<Vec<_>>(), [(&b"inflight"[..], 7.0), (b"util", 0.61)]);
     });
     assert_eq!(taken, Ok(Some(first)));
     let mut word = None;
