--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -29,7 +29,7 @@
 ) -> std::io::Result<()> {
     let socket = Async::<UdpSocket>::bind((from, 0))?;
     let (mut query, mut packet) = (Vec::new(), vec![0; dns::ANSWER_MOST]);
-    let mut unanswered = 0u32;
+    let (mut unanswered, mut unread) = (0u32, false);
     for number in (0..=u16::MAX).cycle() {
         query.clear();
         dns::question(&mut query, number, ZONE);
@@ -47,6 +47,9 @@
                 if let Some(serial) = serial.filter(|_| from == names) {
                     return Ok::<_, std::io::Error>(Some((serial, lines)));
                 }
+                if !std::mem::replace(&mut unread, true) {
+                    warn!(log, "an answer of the name service can't be used"; "bytes" => n, "from" => from);
+                }
             }
         };
         let late = async {
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -263,6 +263,48 @@
     }
 }
 
+#[test]
+fn a_page_out_of_turn_ends_its_connection_and_nothing_more() {
+    // The first forward's late pages must not be taken for the second's: that one has a connection of its own.
+    let first = Mutex::new(true);
+    let (at, _) = engine(move |line, _| {
+        let spoilt = std::mem::replace(&mut *first.lock().unwrap(), false);
+        let pages = format!("{0} DONE pages=3,cost=1,need=1 1\r\na\r\n{0} MORE page=9 1\r\nb\r\n", id(line));
+        (if spoilt { pages.into_bytes() } else { done(line, "x\ty\tz\n") }, false)
+    });
+    let g = gateway("turn", &[("e1", at)]);
+    let mut c = Client::of(&g);
+    c.ask(1);
+    assert_eq!(c.rows(), (1, b"x\ty\tz\n".to_vec()));
+}
+
+#[test]
+fn a_head_that_is_none_is_told_once_what_is_open_is_answered() {
+    let (at, seen) = engine(|line, _| {
+        thread::sleep(Duration::from_millis(500));
+        (done(line, "x\ty\tz\n"), false)
+    });
+    let g = gateway("head", &[("e1", at)]);
+    let (mut c, mut other) = (Client::of(&g), Client::of(&g));
+    c.ask(1);
+    assert!(soon(|| seen.lock().unwrap().len() == 1));
+    c.ask(1);
+    other.say(
+        r#"{"jsonrpc":"2.0","id":5,"method":"lookup","params":{"id":"0000000000000001","wait":400,"bytes":""}}"#,
+    );
+    c.0.get_mut().write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    let (again, head, rows) = (c.hear(), c.hear(), c.rows());
+    assert_eq!(
+        (&again["error"]["code"], &again["id"]),
+        (&json!(-32600), &Value::Null),
+        "a call number in use"
+    );
+    assert_eq!(head["error"]["code"], -32700);
+    assert_eq!(rows.0, 1);
+    assert_eq!(c.0.read(&mut [0; 1]).unwrap(), 0);
+    assert_eq!(other.hear()["error"]["code"], -32602, "an id in use");
+}
+
 #[test]
 fn a_call_taken_back_is_given_up_and_never_answered() {
     let (at, seen) =
@@ -387,6 +429,9 @@
         assert!(until(&mut c, "new\n"));
     }
     assert_eq!(old_seen.lock().unwrap().len(), before, "nothing new to a draining engine");
+    *g.roster.lock().unwrap() = b"no list at all".to_vec();
+    thread::sleep(Duration::from_millis(300));
+    assert!(until(&mut c, "new\n"), "the last good list stays");
     // Gone, and its address is another's now: what was open with the old one is sent anew.
     *g.roster.lock().unwrap() = answer(3, &[("e3", old, 0)]);
     assert!(until(&mut c, "old\n"));
