One piece of code for each way of waiting, and for saying something about a forward

Read over once more, behaviour as before. wait.rs takes the place of four copies of listen, look and wait, two of a time limit, and two of "mailbox or timer", of which both must keep to the rule that no timer fires early. engine.rs: tell, for the four places that say something about a forward, two of which checked by themselves that it had been sent; a forward's expected time is looked up by its band, not carried along; load reports are gathered only from answers that hold one. client.rs: plain answers are built in one place, and long messages use the buffers' own append. json.rs: objects and lists share their commas. told.rs: reads texts by the mandate's word.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,12 +1,12 @@
 //! A client connection's actor: reads submissions, writes answers, each way by itself.
 
-use crate::clock::span;
 use crate::engine::Shared;
 use crate::module::{Event, Id, Taken};
 use crate::pool::{Buffer, Chain, SIZE};
 use crate::start::Leaving;
+use crate::wait::{until, within};
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Async;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use event_listener::Event as Bell;
@@ -65,13 +65,8 @@
 impl Client {
     /// Until nothing is owed on this connection.
     async fn quiet(&self) {
-        loop {
-            let heard = self.answered.listen();
-            if self.open.borrow().is_empty() && self.own.is_empty() && !self.writing.get() {
-                return;
-            }
-            heard.await;
-        }
+        let quiet = || self.open.borrow().is_empty() && self.own.is_empty() && !self.writing.get();
+        until(&self.answered, || quiet().then_some(())).await
     }
 
     async fn read(&self, stream: &Async<TcpStream>) -> io::Result<()> {
@@ -132,19 +127,19 @@
         while missing > 0 {
             // Not waited for: many that each wait for one more would wait for each other.
             let mut part = self.shared.pool.lend().ok_or(io::ErrorKind::OutOfMemory)?;
-            let most = missing.min(part.space().len());
             let n = if first.bytes().is_empty() {
-                (&mut &*stream).read(&mut part.space()[..most]).await?
+                let most = missing.min(part.space().len());
+                let n = (&mut &*stream).read(&mut part.space()[..most]).await?;
+                part.filled(n);
+                n
             } else {
-                let n = most.min(first.bytes().len());
-                part.space()[..n].copy_from_slice(&first.bytes()[..n]);
+                let n = part.append(&first.bytes()[..missing.min(first.bytes().len())]);
                 first.consume(n);
                 n
             };
             if n == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            part.filled(n);
             missing -= n;
             chain.0.push(part);
         }
@@ -160,7 +155,10 @@
         }
     }
 
-    fn plain(&self, message: Vec<u8>) -> Option<Event> {
+    /// Answers without the module.
+    fn plain(&self, write: impl FnOnce(&mut Vec<u8>)) -> Option<Event> {
+        let mut message = Vec::new();
+        write(&mut message);
         if self.own.try_send(Reply::Plain(message)).is_err() {
             self.own.close();
         }
@@ -168,9 +166,7 @@
     }
 
     fn fault(&self, call: Option<u64>, code: i32) -> Option<Event> {
-        let mut m = Vec::new();
-        rpc::error(&mut m, call, code, "not understood", 0.0);
-        self.plain(m)
+        self.plain(|m| rpc::error(m, call, code, "not understood", 0.0))
     }
 
     fn call(&self, at: Ms, call: Option<u64>, method: &[u8], p: rpc::Fields) -> Option<Event> {
@@ -181,9 +177,8 @@
                 return Some(Event::Left(gone));
             }
             b"check" => {
-                let mut m = Vec::new();
-                rpc::fit(&mut m, call?, !self.leaving.begun());
-                return self.plain(m);
+                let call = call?;
+                return self.plain(|m| rpc::fit(m, call, !self.leaving.begun()));
             }
             _ => {}
         }
@@ -204,11 +199,7 @@
             Ok(Some(statement)) => statement,
             Ok(None) => return self.fault(Some(call), rpc::INVALID_FIELDS),
             // No buffer is left for it, and it has been nowhere yet.
-            Err(_) => {
-                let mut m = Vec::new();
-                rpc::error(&mut m, Some(call), rpc::TURNED_BACK, "turned back", 0.0);
-                return self.plain(m);
-            }
+            Err(_) => return self.plain(|m| rpc::error(m, Some(call), rpc::TURNED_BACK, "turned back", 0.0)),
         };
         let of = Submission {
             band,
@@ -252,11 +243,6 @@
                 }
                 Reply::Plain(_) => None,
             };
-            // A client that does not read is not waited for longer than any client waits.
-            let late = async {
-                Timer::after(span(self.shared.carriage.longest)).await;
-                Err(io::ErrorKind::TimedOut.into())
-            };
             let written = async {
                 match reply {
                     Reply::Settled(call, rows) => self.settled(stream, &mut out, call, rows).await?,
@@ -269,7 +255,8 @@
                 }
                 (&mut &*stream).write_all(&out).await
             };
-            or(written, late).await?;
+            // A client that does not read is not waited for longer than any client waits.
+            within(self.shared.carriage.longest, written).await?;
             call.and_then(|c| self.open.borrow_mut().remove(&c));
             self.writing.set(false);
             self.answered.notify(usize::MAX);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -5,10 +5,9 @@
 use crate::link::{carry, Parcel};
 use crate::module::{Event, Id};
 use crate::pool::{Buffer, Chain, Pool};
+use crate::wait::next;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Timer;
-use futures_lite::future::or;
 use ironstair::{Ms, Outcome};
 use ironstair_mandate::Carriage;
 use ironstair_protocol::lines::{self, Fields, Word};
@@ -37,7 +36,6 @@
     pub band: usize,
     pub statement: Rc<Chain>,
     pub priority: Option<u8>,
-    pub expected: Ms,
     pub limit: Ms,
 }
 
@@ -103,15 +101,7 @@
 
     pub async fn run(mut self, orders: Receiver<Order>) {
         loop {
-            let due = self.due();
-            let order = or(async { orders.recv().await.map(Some) }, async {
-                match due {
-                    Some(at) => Timer::at(self.shared.clock.at(at)).await,
-                    None => std::future::pending().await,
-                };
-                Ok(None)
-            });
-            let order = order.await;
+            let order = next(&self.shared.clock, &orders, self.due()).await;
             let gone = order.is_err();
             match order {
                 Ok(Some(order)) => self.follow(order),
@@ -137,29 +127,16 @@
         match order {
             Order::Forward(of) => self.forward(of),
             Order::Withdraw(id) => {
-                if let Some(f) = self.flights.get(&id) {
-                    let mut line = Vec::new();
-                    match f.pages.is_empty() {
-                        true => lines::withdraw(&mut line, text(&id)),
-                        false => lines::no_more(&mut line, text(&id)),
-                    }
-                    let link = f.link;
-                    // One that still waits for its connection was never sent.
-                    if self.links.get(&link).is_some_and(|l| !l.waiting.contains(&id)) {
-                        self.say(link, line, None);
-                    }
-                    self.end(&id, Outcome::Withdrawn, None);
-                }
+                self.tell(&id, |f, line| match f.pages.is_empty() {
+                    true => lines::withdraw(line, text(&id)),
+                    false => lines::no_more(line, text(&id)),
+                });
+                self.end(&id, Outcome::Withdrawn, None);
             }
             Order::Priority(id, n) => {
                 if let Some(f) = self.flights.get_mut(&id) {
                     f.of.priority = Some(n);
-                    let link = f.link;
-                    if self.links.get(&link).is_some_and(|l| !l.waiting.contains(&id)) {
-                        let mut line = Vec::new();
-                        lines::priority(&mut line, text(&id), n);
-                        self.say(link, line, None);
-                    }
+                    self.tell(&id, |_, line| lines::priority(line, text(&id), n));
                 }
             }
             Order::Report => {
@@ -215,7 +192,7 @@
     /// Whether its connection has been silent for longer than the forward was expected to take.
     fn unheard(&self, f: &Flight) -> bool {
         let heard = self.links.get(&f.link).filter(|l| l.up).map(|l| l.heard.max(f.sent));
-        heard.is_some_and(|h| self.shared.clock.now() - h > f.of.expected)
+        heard.is_some_and(|h| self.shared.clock.now() - h > self.shared.expected[f.of.band])
     }
 
     fn forward(&mut self, of: Forward) {
@@ -240,7 +217,17 @@
         self.say(f.link, line, Some(statement));
     }
 
-    fn say(&mut self, link: u64, line: Vec<u8>, statement: Option<Rc<Chain>>) {
+    /// Says something about a forward, unless it still waits for its connection and the engine never heard of it.
+    fn tell(&self, id: &Id, write: impl FnOnce(&Flight, &mut Vec<u8>)) {
+        let Some(f) = self.flights.get(id) else { return };
+        if self.links.get(&f.link).is_some_and(|l| !l.waiting.contains(id)) {
+            let mut line = Vec::new();
+            write(f, &mut line);
+            self.say(f.link, line, None);
+        }
+    }
+
+    fn say(&self, link: u64, line: Vec<u8>, statement: Option<Rc<Chain>>) {
         if let Some(l) = self.links.get(&link) {
             // Fails only once the connection has ended, of which word is under way.
             let _ = l.parcels.try_send(Parcel { line, statement });
@@ -282,14 +269,20 @@
         }
     }
 
-    fn answer(&mut self, link: u64, id: &[u8], word: Word, fields: Fields, body: &[u8]) {
-        // By the names told at start; where the engine has others, in the order that it tells them.
+    /// By the names told at start; where the engine has others, in the order that it tells them.
+    fn report(&mut self, fields: Fields) {
         let named = |n: &String| fields.load().find(|l| l.0 == n.as_bytes()).map(|l| l.1);
         let values: Option<Vec<f64>> = self.shared.carriage.reports.iter().map(named).collect();
         let values = values.unwrap_or_else(|| fields.load().map(|l| l.1).collect());
-        if !values.is_empty() && fields.load().next().is_some() {
+        if !values.is_empty() {
             self.events.push(Event::Report { engine: self.index, values });
         }
+    }
+
+    fn answer(&mut self, link: u64, id: &[u8], word: Word, fields: Fields, body: &[u8]) {
+        if fields.load().next().is_some() {
+            self.report(fields);
+        }
         if matches!(word, Word::Fit | Word::Unfit) {
             return;
         }
@@ -301,10 +294,10 @@
                 let pages = fields.number("pages").unwrap_or(1.0) as usize;
                 f.work = fields.number("cost");
                 f.pages.resize_with(pages.clamp(1, PAGES_MOST), || None);
-                let mut line = Vec::new();
-                (1..f.pages.len()).for_each(|n| lines::page(&mut line, text(&id), n));
-                if !line.is_empty() {
-                    self.say(link, line, None);
+                if f.pages.len() > 1 {
+                    self.tell(&id, |f, line| {
+                        (1..f.pages.len()).for_each(|n| lines::page(line, text(&id), n))
+                    });
                 }
                 0
             }
@@ -324,9 +317,7 @@
         if f.pages.iter().all(Option::is_some) {
             let (rows, work) = (std::mem::take(&mut f.pages), f.work);
             if rows.len() > 1 {
-                let mut line = Vec::new();
-                lines::no_more(&mut line, text(&id));
-                self.say(link, line, None);
+                self.tell(&id, |_, line| lines::no_more(line, text(&id)));
             }
             self.end(&id, Outcome::Settled(work), Some(Chain(rows.into_iter().flatten().collect())));
         }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,10 +1,10 @@
 //! One connection to an engine: two tasks, one for each way, that end with it. The engine's actor owns both.
 
-use crate::clock::span;
 use crate::engine::Order;
 use crate::pool::{Chain, Pool};
+use crate::wait::within;
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ironstair::{Ms, Outcome};
@@ -22,16 +22,12 @@
 pub async fn carry(
     nth: u64,
     to: SocketAddr,
-    within: Ms,
+    most: Ms,
     pool: Rc<Pool>,
     parcels: Receiver<Parcel>,
     engine: Sender<Order>,
 ) {
-    let late = async {
-        Timer::after(span(within)).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    let how = match or(Async::<TcpStream>::connect(to), late).await {
+    let how = match within(most, Async::<TcpStream>::connect(to)).await {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
             let _ = engine.send(Order::Up(nth)).await;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -41,8 +41,7 @@
                 let (n, from) = socket.recv_from(&mut packet).await?;
                 let mut lines = BTreeMap::new();
                 let serial = dns::read(&packet[..n], number, |h| {
-                    let at = (h.name.to_string(), place(&h, &index));
-                    lines.insert(at.0, at.1);
+                    lines.insert(h.name.to_string(), place(&h, &index));
                 });
                 if let Some(serial) = serial.filter(|_| from == names) {
                     return Ok::<_, std::io::Error>(Some((serial, lines)));
@@ -68,18 +67,17 @@
                         return Ok(());
                     }
                 }
-                pause.await;
             }
             Ok(None) | Err(_) => {
                 unanswered += 1;
                 if unanswered == SILENT {
                     warn!(log, "name service is silent"; "questions" => unanswered);
                 }
-                if pause.will_fire() {
-                    pause.await;
-                }
             }
         }
+        if pause.will_fire() {
+            pause.await;
+        }
     }
     Ok(())
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod start;
 mod told;
+mod wait;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -5,9 +5,8 @@
 use crate::engine::{Engine, Forward, Order, Shared};
 use crate::pool::Chain;
 use crate::told::Place;
+use crate::wait::next;
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
-use futures_lite::future::or;
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
 use ironstair::{Listed, Ms, Outcome, Outlet, Submission};
@@ -76,9 +75,13 @@
 }
 
 impl Hands {
+    fn held(&mut self, submission: usize) -> Option<&mut Held> {
+        self.held.get_mut(submission).and_then(Option::as_mut)
+    }
+
     /// The one final answer: whoever asks for a second finds no client any more.
     fn answer(&mut self, submission: usize, reply: impl FnOnce(u64) -> Reply) -> bool {
-        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return false };
+        let Some(h) = self.held(submission) else { return false };
         let Some(client) = h.client.take() else { return false };
         // A client whose connection is gone needs no answer; one that reads none of so many loses its connection.
         if client.try_send(reply(h.call)).is_err() {
@@ -96,11 +99,10 @@
 impl Outlet for Hands {
     fn forward(&mut self, submission: usize, engine: usize) {
         let id = self.subs.id(submission);
-        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return };
+        let Some(h) = self.held(submission) else { return };
         h.engine = Some(engine);
         let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
-        let expected = self.shared.expected[band];
-        let of = Forward { id, band, statement, priority, expected, limit };
+        let of = Forward { id, band, statement, priority, limit };
         if !self.order(engine, Order::Forward(of)) {
             // Nobody is there to tell how it ended.
             let ended = Event::Ended { id, what: Outcome::Unsent, rows: None };
@@ -110,14 +112,14 @@
     }
     fn withdraw(&mut self, submission: usize, _nth: u8) {
         let id = self.subs.id(submission);
-        if let Some(engine) = self.held.get(submission).and_then(Option::as_ref).and_then(|h| h.engine) {
+        if let Some(engine) = self.held(submission).and_then(|h| h.engine) {
             self.order(engine, Order::Withdraw(id));
         }
     }
     fn terms(&mut self, submission: usize, priority: u8, _grant_mb: f64) {
         // The engines' lines have no word for memory.
         let id = self.subs.id(submission);
-        let Some(h) = self.held.get_mut(submission).and_then(Option::as_mut) else { return };
+        let Some(h) = self.held(submission) else { return };
         h.priority = Some(priority);
         if let Some(engine) = h.engine {
             self.order(engine, Order::Priority(id, priority));
@@ -168,15 +170,7 @@
         ends: Ms::INFINITY,
     };
     loop {
-        let wake = hands.wake;
-        let event = or(async { events.recv().await.map(Some) }, async {
-            match wake {
-                Some(at) => Timer::at(hands.shared.clock.at(at)).await,
-                None => std::future::pending().await,
-            };
-            Ok(None)
-        });
-        let Ok(event) = event.await else { return };
+        let Ok(event) = next(&hands.shared.clock, &events, hands.wake).await else { return };
         let now = hands.shared.clock.now();
         hands.now = now;
         match event {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Buffers of one size, lent from a bounded pool and given back when dropped.
 
+use crate::wait::until;
 use event_listener::Event;
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
@@ -41,26 +42,13 @@
 
     /// A buffer for new work, as soon as there is one to spare.
     pub async fn spare(self: &Rc<Self>) -> Buffer {
-        loop {
-            let heard = self.back.listen();
-            if self.lent.get() < self.most - self.most / 2 {
-                if let Some(b) = self.lend() {
-                    return b;
-                }
-            }
-            heard.await;
-        }
+        let to_spare = || (self.lent.get() < self.most - self.most / 2).then(|| self.lend()).flatten();
+        until(&self.back, to_spare).await
     }
 
     /// A buffer for what is under way, as soon as one is back.
     pub async fn wait(self: &Rc<Self>) -> Buffer {
-        loop {
-            let heard = self.back.listen();
-            if let Some(b) = self.lend() {
-                return b;
-            }
-            heard.await;
-        }
+        until(&self.back, || self.lend()).await
     }
 }
 
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,6 +5,7 @@
 use crate::module::{decide, Event};
 use crate::pool::Pool;
 use crate::told::Told;
+use crate::wait::until;
 use crate::{client, list, log};
 use async_executor::LocalExecutor;
 use async_io::{block_on, Async, Timer};
@@ -50,13 +51,7 @@
     }
 
     async fn until(&self, so: impl Fn() -> bool) {
-        loop {
-            let heard = self.bell.listen();
-            if so() {
-                return;
-            }
-            heard.await;
-        }
+        until(&self.bell, || so().then_some(())).await
     }
 }
 
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at start, decoded once.
 
 use ironstair::{Mandate, Ms, Standing};
-use ironstair_mandate::{bands, carriage, kinds, mandate, zones, Carriage};
+use ironstair_mandate::{bands, carriage, kinds, mandate, word, zones, Carriage};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -63,19 +63,15 @@
     decode(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-fn text<'a>(v: &'a Value, key: &str) -> Result<&'a str, String> {
-    v[key].as_str().ok_or_else(|| format!("{key} is missing or no text"))
-}
-
 fn address(v: &Value, key: &str) -> Result<SocketAddr, String> {
-    let found = text(v, key)?;
+    let found = word(v, key)?;
     found.parse().map_err(|_| format!("{key} is no address: {found}"))
 }
 
 pub fn decode(json: &[u8]) -> Result<Told, String> {
     let v: Value = serde_json::from_slice(json).map_err(|e| e.to_string())?;
     let settings = &v["settings"];
-    let seed = text(&v, "seed")?;
+    let seed = word(&v, "seed")?;
     let index = Index { zones: zones(settings)?, kinds: kinds(settings)? };
     let mut known = BTreeMap::new();
     let notices = v["known"]["notices"].as_array();
@@ -83,7 +79,7 @@
         follow(&mut known, &notice["pool"], &index)?;
     }
     Ok(Told {
-        name: text(&v, "name")?.to_string(),
+        name: word(&v, "name")?.to_string(),
         listen: address(&v, "listen")?,
         names: address(&v, "names")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hexadecimal number: {seed}"))?,
@@ -105,8 +101,8 @@
     }
     for e in pool["instances"].as_array().into_iter().flatten() {
         // In lower case, like the names that DNS brings.
-        let name = text(e, "instanceId")?.to_ascii_lowercase();
-        let standing = match text(e, "lifecycle")? {
+        let name = word(e, "instanceId")?.to_ascii_lowercase();
+        let standing = match word(e, "lifecycle")? {
             "ready" => Standing::Ready,
             "draining" => Standing::Draining,
             _ => {
--- /dev/null
+++ b/crates/gateway/src/wait.rs
@@ -0,0 +1,43 @@
+//! The ways in which actors wait.
+
+use crate::clock::{span, Clock};
+use async_channel::{Receiver, RecvError};
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::future::or;
+use ironstair::Ms;
+use std::future::{pending, Future};
+use std::io;
+
+/// Until `found` has something; it is asked again whenever the bell rings.
+pub async fn until<T>(bell: &Event, found: impl Fn() -> Option<T>) -> T {
+    loop {
+        // Listened for before looking: a ring between the two must not be missed.
+        let heard = bell.listen();
+        if let Some(found) = found() {
+            return found;
+        }
+        heard.await;
+    }
+}
+
+/// What `work` comes to, or an error when that takes longer.
+pub async fn within<T>(most: Ms, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(span(most)).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    or(work, late).await
+}
+
+/// The next thing in a mailbox; none when the time `due` comes first.
+pub async fn next<T>(clock: &Clock, mailbox: &Receiver<T>, due: Option<Ms>) -> Result<Option<T>, RecvError> {
+    let timer = async {
+        match due {
+            Some(at) => Timer::at(clock.at(at)).await,
+            None => pending().await,
+        };
+        Ok(None)
+    };
+    or(async { mailbox.recv().await.map(Some) }, timer).await
+}
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -28,7 +28,8 @@
     at(v, path).map_or(Ok(false), |f| f.as_bool().ok_or_else(|| format!("{path} is not true or false")))
 }
 
-fn word<'a>(v: &'a Value, path: &str) -> Result<&'a str, String> {
+/// A text that must be there.
+pub fn word<'a>(v: &'a Value, path: &str) -> Result<&'a str, String> {
     at(v, path).and_then(Value::as_str).ok_or_else(|| format!("{path} is missing or no text"))
 }
 
--- a/crates/protocol/src/json.rs
+++ b/crates/protocol/src/json.rs
@@ -29,17 +29,24 @@
     /// Goes through an object; `each` must read the value of every key that it is given.
     pub fn object(&mut self, mut each: impl FnMut(&[u8], &mut Self) -> Option<()>) -> Option<()> {
         self.expect(b'{')?;
-        if self.peek()? == b'}' {
+        self.items(b'}', |r| {
+            let key = r.text()?;
+            r.expect(b':')?;
+            each(&key, r)
+        })
+    }
+
+    /// What stands between commas up to `end`, which is read too.
+    fn items(&mut self, end: u8, mut each: impl FnMut(&mut Self) -> Option<()>) -> Option<()> {
+        if self.peek()? == end {
             self.at += 1;
             return Some(());
         }
         loop {
-            let key = self.text()?;
-            self.expect(b':')?;
-            each(&key, self)?;
+            each(self)?;
             match self.peek()? {
                 b',' => self.at += 1,
-                b'}' => {
+                b if b == end => {
                     self.at += 1;
                     return Some(());
                 }
@@ -140,21 +147,7 @@
             b'"' => self.text().map(drop),
             b'[' => {
                 self.at += 1;
-                if self.peek()? == b']' {
-                    self.at += 1;
-                    return Some(());
-                }
-                loop {
-                    self.skip(depth + 1)?;
-                    match self.peek()? {
-                        b',' => self.at += 1,
-                        b']' => {
-                            self.at += 1;
-                            return Some(());
-                        }
-                        _ => return None,
-                    }
-                }
+                self.items(b']', |r| r.skip(depth + 1))
             }
             b't' | b'f' | b'n' => {
                 let rest = &self.bytes[self.at..];
--- a/crates/protocol/src/lines.rs
+++ b/crates/protocol/src/lines.rs
@@ -65,16 +65,11 @@
         _ => return Err("unknown word"),
     };
     let fields = words.next().unwrap_or(b"-");
-    let length = match words.next() {
-        None => None,
-        Some(n) => {
-            Some(std::str::from_utf8(n).ok().and_then(|n| n.parse::<usize>().ok()).ok_or("no length")?)
-        }
-    };
-    let Some(length) = length else {
+    let Some(length) = words.next() else {
         take(id, word, Fields(fields), b"");
         return Ok(Some(end + 1));
     };
+    let length: usize = std::str::from_utf8(length).ok().and_then(|n| n.parse().ok()).ok_or("no length")?;
     if length > BODY_MOST {
         return Err("body too long");
     }
