Quiet client connections give up their places; bad clients are refused and left

Cause: clients that ask once and keep their connection held all places (half of the descriptors) for good; start.rs waited for one to leave, client.rs let none go. Excluded: the roster (12 engines met, changes followed), the module (0.5 to 2% refused), memory (3 MB). Change: places.rs owns the places. A connection without an open call gives way to the next one, those that never had an answer first, then the longest quiet; 2 s for a first word or a whole message, 10 s idle. Framing that is lost, a call number in use or 16 faults end a connection and take back what is open on it: which call an answer is for can't be told. Figures that are no such numbers are refused; read as missing they were served. 32 calls open as clients keep to; long messages get a quarter of the buffers. Given up: what is open when the framing is lost is not answered any more.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -2,29 +2,41 @@
 
 use crate::engine::Shared;
 use crate::module::{Event, Id, Taken};
+use crate::places::Place;
 use crate::pool::{Buffer, Chain, SIZE};
-use crate::start::Leaving;
 use crate::wait::{until, within};
 use async_channel::{Receiver, Sender};
-use async_io::Async;
+use async_io::{Async, Timer};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
-use event_listener::Event as Bell;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ironstair::{Ms, Submission};
 use ironstair_protocol::{rpc, statement};
-use slog::warn;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
-/// Open calls on one connection: twice as many as clients keep to.
-const OPEN_MOST: usize = 64;
+/// Open calls on one connection: clients keep to it.
+const OPEN_MOST: usize = 32;
 /// Answers that wait to be written: a client that reads none of so many loses its connection.
 const MAILBOX: usize = 2 * OPEN_MOST;
+/// What is not understood before the connection is left: against floods, which cost others their answers.
+const FAULTS_MOST: u32 = 16;
+/// From connecting to the first answer or open call, and from a message's first byte to its last.
+const WORD_WITHIN: Ms = 2000.0;
+/// Clients close what is idle after 4 s: what is kept for longer is not used again.
+const IDLE: Ms = 10_000.0;
+/// How long what a client still sends is thrown away, so that the last word reaches it, and how much of it.
+const LAST_WORD: Ms = 300.0;
+const THROWN_AWAY: usize = 16;
+/// Beyond this no figure is meant: work in longest hard limits, memory in MB, tries.
+const WORK_MOST: f64 = 1000.0;
+const MEMORY_MOST: f64 = 1e8;
+const TRIES_MOST: f64 = 1e4;
 
 pub enum Reply {
     Settled(u64, Chain),
@@ -38,24 +50,30 @@
 
 struct Client {
     shared: Rc<Shared>,
-    leaving: Rc<Leaving>,
+    place: Place,
     own: Sender<Reply>,
     open: RefCell<BTreeMap<u64, Id>>,
     writing: Cell<bool>,
-    answered: Bell,
+    faults: Cell<u32>,
 }
 
-pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, leaving: Rc<Leaving>) {
+pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, place: Place) {
     let _ = stream.get_ref().set_nodelay(true);
     let (own, replies) = async_channel::bounded(MAILBOX);
-    let (open, writing, answered) = (RefCell::default(), Cell::new(false), Bell::new());
-    let client = Client { shared, leaving, own, open, writing, answered };
-    let _ = or(client.read(&stream), client.write(&stream, replies)).await;
+    let (open, writing, faults) = (RefCell::default(), Cell::new(false), Cell::new(0));
+    let client = Client { shared, place, own, open, writing, faults };
+    let read = async {
+        let how = client.read(&stream).await.map_err(|e| e.kind());
+        if how.is_err_and(|kind| kind != io::ErrorKind::ConnectionAborted) {
+            // Where the next message begins, or which call an answer is for, is not known any more.
+            client.give_up().await;
+            let _ = within(LAST_WORD, client.last_word(&stream)).await;
+        }
+        Ok(())
+    };
+    let _ = or(read, client.write(&stream, replies)).await;
     drop(stream);
-    // Nobody is left to answer.
-    for id in client.open.take().into_values() {
-        let _ = client.shared.module.send(Event::Left(id)).await;
-    }
+    client.give_up().await;
 }
 
 fn id(text: &[u8]) -> Option<Id> {
@@ -63,59 +81,117 @@
 }
 
 impl Client {
+    /// Nobody is left to answer.
+    async fn give_up(&self) {
+        for id in self.open.take().into_values() {
+            let _ = self.shared.module.send(Event::Left(id)).await;
+        }
+    }
+
+    async fn last_word(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+        self.quiet().await;
+        stream.get_ref().shutdown(Shutdown::Write)?;
+        // A connection closed with something unread is reset, and what was said last may be lost with it.
+        for _ in 0..THROWN_AWAY {
+            stream.readable().await?;
+            let Some(mut buffer) = self.shared.pool.lend() else { break };
+            if (&mut &*stream).read(buffer.space()).await? == 0 {
+                break;
+            }
+        }
+        Ok(())
+    }
+
     /// Until nothing is owed on this connection.
     async fn quiet(&self) {
         let quiet = || self.open.borrow().is_empty() && self.own.is_empty() && !self.writing.get();
-        until(&self.answered, || quiet().then_some(())).await
+        until(&self.place.seat.bell, || quiet().then_some(())).await
+    }
+
+    fn over(&self, call: Option<u64>, answered: bool) {
+        let mut open = self.open.borrow_mut();
+        call.and_then(|c| open.remove(&c));
+        self.place.rest(self.shared.clock.now(), answered, !open.is_empty());
+    }
+
+    /// Until a connection on which nothing is open has been quiet for too long, or a message, begun at `since`,
+    /// has been under way for too long, or the place is needed.
+    async fn impatient(&self, since: Option<Ms>) -> io::Result<()> {
+        let seat = &self.place.seat;
+        loop {
+            let heard = seat.bell.listen();
+            let quiet = seat.quiet_since();
+            let due = match since {
+                _ if seat.asked_to_leave() && quiet.is_finite() => break,
+                Some(first) if seat.answered() || quiet.is_infinite() => first + WORD_WITHIN,
+                None if seat.answered() => quiet + IDLE,
+                _ => quiet.max(seat.since + WORD_WITHIN),
+            };
+            if due <= self.shared.clock.now() {
+                break;
+            }
+            let timer = async {
+                match due.is_finite() {
+                    true => drop(Timer::at(self.shared.clock.at(due)).await),
+                    false => pending().await,
+                }
+            };
+            or(heard, timer).await;
+        }
+        if since.is_some() {
+            self.fault(None, rpc::UNREADABLE);
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.quiet().await;
+        Err(io::ErrorKind::ConnectionAborted.into())
     }
 
     async fn read(&self, stream: &Async<TcpStream>) -> io::Result<()> {
-        let mut held: Option<Buffer> = None;
+        let mut held: Option<(Buffer, Ms)> = None;
         loop {
-            let mut buffer = match held.take() {
-                Some(b) => b,
+            let (mut buffer, since) = match held.take() {
+                Some(held) => held,
                 None => {
-                    let leave = async {
-                        self.leaving.closing().await;
-                        self.quiet().await;
-                        Err(io::ErrorKind::ConnectionAborted.into())
-                    };
-                    or(stream.readable(), leave).await?;
-                    self.shared.pool.spare().await
+                    or(stream.readable(), self.impatient(None)).await?;
+                    (self.shared.pool.spare().await, self.shared.clock.now())
                 }
             };
-            let n = (&mut &*stream).read(buffer.space()).await?;
+            let n = {
+                let read = async { (&mut &*stream).read(buffer.space()).await };
+                or(read, async { self.impatient(Some(since)).await.map(|()| 0) }).await?
+            };
             if n == 0 {
                 // The client's way alone may have ended: who wants no answer any more says so by a call.
                 self.quiet().await;
                 return Ok(());
             }
             buffer.filled(n);
+            let mut whole = false;
             loop {
-                let head = rpc::head(buffer.bytes()).map_err(io::Error::other);
-                let (head, length) = match head {
+                let (head, length) = match rpc::head(buffer.bytes()) {
                     Ok(Some(found)) => found,
                     Ok(None) => break,
                     Err(e) => {
-                        warn!(self.shared.log, "client's head can't be read"; "what" => %e);
-                        // Where the next message begins is not known; what is open is still answered.
                         self.fault(None, rpc::UNREADABLE);
-                        self.quiet().await;
-                        return Err(e);
+                        return Err(io::Error::other(e));
                     }
                 };
                 if head + length > SIZE {
                     buffer.consume(head);
-                    let chain = self.long(stream, &mut buffer, length).await?;
+                    let since = if whole { self.shared.clock.now() } else { since };
+                    let read = self.long(stream, &mut buffer, length);
+                    let late = async { self.impatient(Some(since)).await.map(|()| Chain::default()) };
+                    let chain = or(read, late).await?;
                     self.message(&chain.joined()).await?;
-                    continue;
+                } else {
+                    let Some(message) = buffer.bytes().get(head..head + length) else { break };
+                    self.message(message).await?;
+                    buffer.consume(head + length);
                 }
-                let Some(message) = buffer.bytes().get(head..head + length) else { break };
-                self.message(message).await?;
-                buffer.consume(head + length);
+                whole = true;
             }
             if !buffer.bytes().is_empty() {
-                held = Some(buffer);
+                held = Some((buffer, if whole { self.shared.clock.now() } else { since }));
             }
         }
     }
@@ -126,7 +202,10 @@
         let mut missing = length;
         while missing > 0 {
             // Not waited for: many that each wait for one more would wait for each other.
-            let mut part = self.shared.pool.lend().ok_or(io::ErrorKind::OutOfMemory)?;
+            let Some(mut part) = self.shared.pool.lend_long() else {
+                self.plain(|m| rpc::error(m, None, rpc::TURNED_BACK, "turned back", 0.0));
+                return Err(io::ErrorKind::OutOfMemory.into());
+            };
             let n = if first.bytes().is_empty() {
                 let most = missing.min(part.space().len());
                 let n = (&mut &*stream).read(&mut part.space()[..most]).await?;
@@ -149,69 +228,94 @@
     async fn message(&self, message: &[u8]) -> io::Result<()> {
         let at = self.shared.clock.now();
         let event = rpc::read(message, |call, method, params| self.call(at, call, method, params));
-        match event.unwrap_or_else(|(call, code)| self.fault(call, code)) {
-            Some(event) => self.shared.module.send(event).await.map_err(|_| io::ErrorKind::BrokenPipe.into()),
-            None => Ok(()),
+        match event.and_then(|event| event) {
+            Ok(Some(event)) => {
+                self.shared.module.send(event).await.map_err(|_| io::ErrorKind::BrokenPipe.into())
+            }
+            Ok(None) => Ok(()),
+            Err((call, code)) => {
+                self.fault(call, code);
+                let most = self.faults.get() >= FAULTS_MOST;
+                if most {
+                    Err(io::ErrorKind::InvalidData.into())
+                } else {
+                    Ok(())
+                }
+            }
         }
     }
 
     /// Answers without the module.
-    fn plain(&self, write: impl FnOnce(&mut Vec<u8>)) -> Option<Event> {
+    fn plain(&self, write: impl FnOnce(&mut Vec<u8>)) {
         let mut message = Vec::new();
         write(&mut message);
         if self.own.try_send(Reply::Plain(message)).is_err() {
             self.own.close();
         }
-        None
     }
 
-    fn fault(&self, call: Option<u64>, code: i32) -> Option<Event> {
-        self.plain(|m| rpc::error(m, call, code, "not understood", 0.0))
+    fn fault(&self, call: Option<u64>, code: i32) {
+        self.faults.set(self.faults.get() + 1);
+        self.plain(|m| rpc::error(m, call, code, "not understood", 0.0));
     }
 
-    fn call(&self, at: Ms, call: Option<u64>, method: &[u8], p: rpc::Fields) -> Option<Event> {
-        match method {
-            b"interrupt" => {
-                let gone = self.open.borrow_mut().remove(&p.count("id")?)?;
-                self.answered.notify(usize::MAX);
-                return Some(Event::Left(gone));
-            }
-            b"check" => {
-                let call = call?;
-                return self.plain(|m| rpc::fit(m, call, !self.leaving.begun()));
-            }
-            _ => {}
+    fn call(
+        &self,
+        at: Ms,
+        call: Option<u64>,
+        method: &[u8],
+        p: rpc::Fields,
+    ) -> Result<Option<Event>, (Option<u64>, i32)> {
+        if method == b"interrupt" {
+            let taken_back = p.count("id").filter(|c| self.open.borrow().contains_key(c));
+            let gone = taken_back.and_then(|c| self.open.borrow().get(&c).copied());
+            self.over(taken_back, false);
+            return Ok(gone.map(Event::Left));
+        }
+        let call = call.filter(|c| *c > 0).ok_or((None, rpc::INVALID))?;
+        if method == b"check" {
+            self.plain(|m| rpc::fit(m, call, !self.place.of.begun()));
+            return Ok(None);
         }
-        let Some(call) = call else { return self.fault(None, rpc::INVALID) };
         let band = self.shared.bands.iter().position(|b| b.as_bytes() == method);
-        let Some(band) = band else { return self.fault(Some(call), rpc::UNKNOWN_METHOD) };
-        let fields = p.text("id").as_deref().and_then(id).zip(p.number("wait"));
-        let Some(((id, left), text)) = fields.zip(p.text("bytes")) else {
-            return self.fault(Some(call), rpc::INVALID_FIELDS);
-        };
+        let band = band.ok_or((Some(call), rpc::UNKNOWN_METHOD))?;
         if self.open.borrow().contains_key(&call) {
-            return self.fault(None, rpc::INVALID);
+            // Which of the two an answer is for could not be told: neither gets one.
+            self.faults.set(FAULTS_MOST);
+            return Err((None, rpc::INVALID));
         }
         if self.open.borrow().len() >= OPEN_MOST {
-            return self.fault(Some(call), rpc::INVALID);
+            return Err((Some(call), rpc::INVALID));
         }
+        let unusable = (Some(call), rpc::INVALID_FIELDS);
+        let id = p.text("id").as_deref().and_then(id).ok_or(unusable)?;
+        // A little more than the longest: clients may count otherwise.
+        let longest = self.shared.carriage.longest;
+        let left = p.figure("wait", 2.0 * longest).ok().flatten().filter(|l| *l > 0.0).ok_or(unusable)?;
+        let work = p.figure("cost", WORK_MOST * longest).map_err(|_| unusable)?;
+        let memory = p.figure("ram", MEMORY_MOST).map_err(|_| unusable)?;
+        let tries = p.figure("retry", TRIES_MOST).map_err(|_| unusable)?;
+        let text = p.text("bytes").ok_or(unusable)?;
         let statement = match self.statement(&text) {
-            Ok(Some(statement)) => statement,
-            Ok(None) => return self.fault(Some(call), rpc::INVALID_FIELDS),
+            Ok(statement) => statement.ok_or(unusable)?,
             // No buffer is left for it, and it has been nowhere yet.
-            Err(_) => return self.plain(|m| rpc::error(m, Some(call), rpc::TURNED_BACK, "turned back", 0.0)),
+            Err(_) => {
+                self.plain(|m| rpc::error(m, Some(call), rpc::TURNED_BACK, "turned back", 0.0));
+                return Ok(None);
+            }
         };
         let of = Submission {
             band,
             left,
-            work: p.number("cost").filter(|w| *w > 0.0),
-            memory_mb: p.number("ram").unwrap_or(0.0),
+            work: work.filter(|w| *w > 0.0),
+            memory_mb: memory.unwrap_or(0.0),
             tables: statement::tables(&statement.joined()).unwrap_or(0),
-            later_try: p.mark("retry"),
+            later_try: tries.is_some_and(|t| t > 0.0),
             ..Default::default()
         };
         self.open.borrow_mut().insert(call, id);
-        Some(Event::Taken(Box::new(Taken { id, call, of, at, statement, client: self.own.clone() })))
+        self.place.busy();
+        Ok(Some(Event::Taken(Box::new(Taken { id, call, of, at, statement, client: self.own.clone() }))))
     }
 
     /// None when it is no base64; an error when all buffers are lent.
@@ -236,7 +340,7 @@
                     // Not for one that its client has taken back meanwhile.
                     if !self.open.borrow().contains_key(c) {
                         self.writing.set(false);
-                        self.answered.notify(usize::MAX);
+                        self.place.seat.bell.notify(usize::MAX);
                         continue;
                     }
                     Some(*c)
@@ -257,9 +361,8 @@
             };
             // A client that does not read is not waited for longer than any client waits.
             within(self.shared.carriage.longest, written).await?;
-            call.and_then(|c| self.open.borrow_mut().remove(&c));
             self.writing.set(false);
-            self.answered.notify(usize::MAX);
+            self.over(call, true);
         }
         Ok(())
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -7,6 +7,7 @@
 mod list;
 mod log;
 mod module;
+mod places;
 mod pool;
 mod start;
 mod told;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -40,6 +40,12 @@
         })
     }
 
+    /// A buffer for a message that needs many; none while a quarter are lent: half-sent ones must leave room
+    /// to all others.
+    pub fn lend_long(self: &Rc<Self>) -> Option<Buffer> {
+        (self.lent.get() < self.most / 4).then(|| self.lend()).flatten()
+    }
+
     /// A buffer for new work, as soon as there is one to spare.
     pub async fn spare(self: &Rc<Self>) -> Buffer {
         let to_spare = || (self.lent.get() < self.most - self.most / 2).then(|| self.lend()).flatten();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,20 +4,18 @@
 use crate::engine::Shared;
 use crate::list::{List, Moved};
 use crate::module::{decide, Event};
+use crate::places::Places;
 use crate::pool::Pool;
 use crate::told::{self, Told};
-use crate::wait::until;
 use crate::{client, log};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{block_on, Async, Timer};
 use async_signal::{Signal, Signals};
-use event_listener::Event as Bell;
 use futures_lite::future::or;
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
 use slog::{info, warn};
-use std::cell::Cell;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -34,35 +32,6 @@
 /// Without a free descriptor: how long until the next try.
 const NO_DESCRIPTOR: f64 = 20.0;
 
-/// How far the end has come, and who is still there.
-#[derive(Default)]
-pub struct Leaving {
-    begun: Cell<bool>,
-    closing: Cell<bool>,
-    clients: Cell<usize>,
-    bell: Bell,
-}
-
-impl Leaving {
-    pub fn begun(&self) -> bool {
-        self.begun.get()
-    }
-
-    /// Until connections are to close.
-    pub async fn closing(&self) {
-        self.until(|| self.closing.get()).await;
-    }
-
-    async fn until(&self, so: impl Fn() -> bool) {
-        until(&self.bell, || so().then_some(())).await
-    }
-
-    fn set(&self, what: &Cell<bool>) {
-        what.set(true);
-        self.bell.notify(usize::MAX);
-    }
-}
-
 /// How long after the word to end every submission is to have its answer.
 fn left(shared: &Shared) -> f64 {
     shared.carriage.longest.min(AT_MOST) + KILLED_AFTER - LAST_WORDS
@@ -73,7 +42,7 @@
     mut signals: Signals,
     told: PathBuf,
     moves: Sender<Moved>,
-    leaving: Rc<Leaving>,
+    places: Rc<Places>,
     shared: Rc<Shared>,
 ) {
     while let Some(signal) = signals.next().await {
@@ -85,10 +54,10 @@
                 }
                 Err(e) => warn!(log, "the new configuration can't be used, the old one stays"; "why" => e),
             },
-            _ if leaving.begun() => info!(log, "told to end once more"),
+            _ if places.begun() => info!(log, "told to end once more"),
             _ => {
                 info!(log, "told to end");
-                leaving.set(&leaving.begun);
+                places.begin();
                 let _ = shared.module.send(Event::Ending(shared.clock.now() + left(&shared))).await;
             }
         }
@@ -124,40 +93,32 @@
         let (from, names, index, rev) = (told.listen.ip(), told.names, told.index, told.rev);
         let (moves, moved) = async_channel::bounded(1);
         executor.spawn(List { from, names, index, rev, module, log: log.clone() }.follow(moved)).detach();
-        let leaving = Rc::new(Leaving::default());
-        executor.spawn(heed(signals, path.into(), moves, leaving.clone(), shared.clone())).detach();
+        // Clients keep to a third of the descriptors.
+        let places = Places::new(told.descriptors / 2);
+        executor.spawn(heed(signals, path.into(), moves, places.clone(), shared.clone())).detach();
         info!(log, "serving"; "on" => told.listen);
 
-        // Clients keep to a third of the descriptors; what is beyond waits until one has left.
-        let most = (told.descriptors / 2).max(1);
         let accept = async {
             loop {
-                leaving.until(|| leaving.clients.get() < most).await;
                 match listener.accept().await {
                     Ok((stream, _)) => {
-                        let (shared, leaving) = (shared.clone(), leaving.clone());
-                        leaving.clients.set(leaving.clients.get() + 1);
-                        let task = async move {
-                            client::serve(stream, shared, leaving.clone()).await;
-                            leaving.clients.set(leaving.clients.get() - 1);
-                            leaving.bell.notify(usize::MAX);
-                        };
-                        executor.spawn(task).detach();
+                        let place = places.take(shared.clock.now()).await;
+                        executor.spawn(client::serve(stream, shared.clone(), place)).detach();
                     }
                     Err(_) => drop(Timer::after(span(NO_DESCRIPTOR)).await),
                 }
             }
         };
         let told_to_end = async {
-            leaving.until(|| leaving.begun()).await;
+            places.until_begun().await;
             Timer::after(span(CLIENTS_COME_FOR)).await;
         };
         or(accept, told_to_end).await;
         drop(listener);
-        leaving.set(&leaving.closing);
+        places.close();
         // What the module gave up is answered by then; who still reads nothing or says half must not hold this up.
         let most = Timer::after(span(left(&shared) + LAST_WORDS / 2.0 - CLIENTS_COME_FOR));
-        or(leaving.until(|| leaving.clients.get() == 0), async { _ = most.await }).await;
+        or(places.until_empty(), async { _ = most.await }).await;
         info!(log, "all is answered");
         Ok(())
     }))
--- a/crates/protocol/src/json.rs
+++ b/crates/protocol/src/json.rs
@@ -118,18 +118,6 @@
         self.number().filter(|x| *x >= 0.0 && x.fract() == 0.0 && *x < 9007199254740992.0).map(|x| x as u64)
     }
 
-    /// Whether a mark is set: a number other than 0, true, or a text that says neither.
-    pub fn mark(&mut self) -> Option<bool> {
-        match self.peek()? {
-            b'"' => self.text().map(|t| !matches!(&*t, b"" | b"0" | b"false")),
-            b't' | b'f' | b'n' => {
-                let set = self.bytes[self.at] == b't';
-                self.skip(0).map(|()| set)
-            }
-            _ => self.number().map(|x| x != 0.0),
-        }
-    }
-
     /// The next value as it stands.
     pub fn raw(&mut self) -> Option<&'a [u8]> {
         self.peek()?;
--- a/crates/protocol/src/rpc.rs
+++ b/crates/protocol/src/rpc.rs
@@ -42,8 +42,13 @@
     pub fn count(&self, name: &str) -> Option<u64> {
         self.find(name, Reader::count)
     }
-    pub fn mark(&self, name: &str) -> bool {
-        self.find(name, Reader::mark).unwrap_or(false)
+    /// A figure that may be missing, but not be no number or out of range.
+    pub fn figure(&self, name: &str, most: f64) -> Result<Option<f64>, &'static str> {
+        match self.number(name) {
+            Some(x) if (0.0..=most).contains(&x) => Ok(Some(x)),
+            None if self.find(name, |r| r.skip(0)).is_none() => Ok(None),
+            _ => Err("no figure or out of range"),
+        }
     }
 }
 
