Spoilt answers lose only their own connection; good ones with more than theirs do no harm

Causes: a second DONE ended its forward as an error and a second page cost the whole connection (261 such answers); five forwards shared each connection, each lost one counted against the engine; half an answer was waited for to the hard limit. Change: engine.rs passes over second copies; answers without pages, with no whole rows or over 48,000 bytes, and halves older than a connect may take end their connection at once; forwards get a connection each as far as the descriptors go; Outcome::Swept for those lost on another's account; never written is unsent. Indices of gone engines are given back. Left goes by connection, so that a client that sends another's id can't take that back. Tests: spoilt_answers_end_..., good_answers_that_bring_more_..., what_went_with_a_connection_..., an_index_given_back_twice_..., an id in use.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -84,7 +84,7 @@
     /// Nobody is left to answer.
     async fn give_up(&self) {
         for id in self.open.take().into_values() {
-            let _ = self.shared.module.send(Event::Left(id)).await;
+            let _ = self.shared.module.send(Event::Left(id, self.own.clone())).await;
         }
     }
 
@@ -270,7 +270,7 @@
             let taken_back = p.count("id").filter(|c| self.open.borrow().contains_key(c));
             let gone = taken_back.and_then(|c| self.open.borrow().get(&c).copied());
             self.over(taken_back, false);
-            return Ok(gone.map(Event::Left));
+            return Ok(gone.map(|id| Event::Left(id, self.own.clone())));
         }
         let call = call.filter(|c| *c > 0).ok_or((None, rpc::INVALID))?;
         if method == b"check" {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -12,12 +12,18 @@
 use ironstair_mandate::Carriage;
 use ironstair_protocol::lines::{self, Fields, Word};
 use slog::{warn, Logger};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// More pages than the longest result has.
-const PAGES_MOST: usize = 64;
+/// More pages than the longest result has, and its bytes.
+const PAGES_MOST: f64 = 64.0;
+const RESULT_MOST: usize = 48_000;
+/// Work told beyond so many longest hard limits is none.
+const WORK_MOST: f64 = 1000.0;
+/// So many connections to an engine at most: all that is open on one is lost with it.
+const LINKS_MOST: usize = 16;
 /// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
 const IDLE_SHARE: f64 = 0.75;
 
@@ -57,7 +63,9 @@
     /// A forward was given up here with nothing heard for longer than it was expected to take.
     silent: bool,
     waiting: Vec<Id>,
+    /// An answer's part, and when its first byte came.
     held: Option<Buffer>,
+    part_since: Option<Ms>,
     parcels: Sender<Parcel>,
     _task: Task<()>,
 }
@@ -69,8 +77,9 @@
     /// The bands' expected times.
     pub expected: Vec<Ms>,
     pub carriage: Carriage,
-    /// With so many connections to an engine, a silent one is used again before another is opened.
+    /// Connections to all engines, and how many engines there are.
     pub links_most: usize,
+    pub listed: Cell<usize>,
     pub log: Logger,
     pub module: Sender<Event>,
     pub executor: Rc<LocalExecutor<'static>>,
@@ -158,15 +167,16 @@
         }
     }
 
-    /// The connection with the fewest open forwards that may take one more, else a new one.
+    /// A connection with nothing open, else a new one: what spoils one loses all that is open on it. Beyond
+    /// this engine's part of the descriptors, the connection with the fewest open forwards.
     fn link(&mut self) -> u64 {
         // Against a machine cut off, whose connections stay open and silent, maybe for good: a new one tells.
         let silent: Vec<u64> = self.flights.values().filter(|f| self.unheard(f)).map(|f| f.link).collect();
         let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage.streams);
-        let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), !l.1.up, l.1.open);
-        if let Some(l) =
-            room.min_by_key(rank).filter(|l| !rank(l).0 || self.links.len() >= self.shared.links_most)
-        {
+        let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), l.1.open, !l.1.up);
+        let most = (self.shared.links_most / self.shared.listed.get().max(1)).clamp(2, LINKS_MOST);
+        let free = |l: &(&u64, &Link)| !rank(l).0 && l.1.open == 0 || self.links.len() >= most;
+        if let Some(l) = room.min_by_key(rank).filter(free) {
             return *l.0;
         }
         self.opened += 1;
@@ -182,6 +192,7 @@
             silent: false,
             waiting: Vec::new(),
             held: None,
+            part_since: None,
             parcels,
             _task: s.executor.spawn(task),
         };
@@ -251,24 +262,32 @@
 
     /// Goes through the whole answers in the buffer and keeps the rest.
     fn heard(&mut self, link: u64, mut buffer: Buffer) {
-        loop {
+        let mut whole = false;
+        while self.links.contains_key(&link) {
             let read = lines::read(buffer.bytes(), |id, word, fields, body| {
                 self.answer(link, id, word, fields, body);
             });
             match read {
                 Ok(Some(n)) => buffer.consume(n),
                 Ok(None) => break,
-                Err(e) => {
-                    warn!(self.shared.log, "engine's answer can't be read"; "what" => e, "from" => self.address);
-                    return self.drop_link(link, Outcome::Reset);
-                }
+                Err(e) => return self.spoilt(link, e),
             }
+            whole = true;
         }
-        if let Some(l) = self.links.get_mut(&link).filter(|_| !buffer.bytes().is_empty()) {
-            l.held = Some(buffer);
+        let now = self.shared.clock.now();
+        if let Some(l) = self.links.get_mut(&link) {
+            let part = !buffer.bytes().is_empty();
+            l.part_since = part.then(|| l.part_since.filter(|_| !whole).unwrap_or(now));
+            l.held = part.then_some(buffer);
         }
     }
 
+    /// What else still comes on this connection can't be told apart.
+    fn spoilt(&mut self, link: u64, what: &str) {
+        warn!(self.shared.log, "engine's answer can't be read"; "what" => what, "from" => self.address);
+        self.drop_link(link, Outcome::Reset);
+    }
+
     /// By the names told at start; where the engine has others, in the order that it tells them.
     fn report(&mut self, fields: Fields) {
         let named = |n: &String| fields.load().find(|l| l.0 == n.as_bytes()).map(|l| l.1);
@@ -290,10 +309,17 @@
         // What was withdrawn or has timed out is answered in vain.
         let Some(f) = self.flights.get_mut(&id).filter(|f| f.link == link) else { return };
         let page = match word {
-            Word::Done if f.pages.is_empty() => {
-                let pages = fields.number("pages").unwrap_or(1.0) as usize;
-                f.work = fields.number("cost");
-                f.pages.resize_with(pages.clamp(1, PAGES_MOST), || None);
+            // A second copy of what is already there is more than is its own, and does no harm.
+            Word::Done if !f.pages.is_empty() => return,
+            Word::Done => {
+                // A good end always tells how many: without it, this is something else.
+                let pages = fields.number("pages").unwrap_or(0.0);
+                if pages.fract() != 0.0 || !(1.0..=PAGES_MOST).contains(&pages) {
+                    return self.spoilt(link, "no number of pages");
+                }
+                let most = WORK_MOST * self.shared.carriage.longest;
+                f.work = fields.number("cost").filter(|w| (0.0..=most).contains(w));
+                f.pages.resize_with(pages as usize, || None);
                 if f.pages.len() > 1 {
                     self.tell(&id, |f, line| {
                         (1..f.pages.len()).for_each(|n| lines::page(line, text(&id), n))
@@ -301,18 +327,24 @@
                 }
                 0
             }
-            Word::More => fields.number("page").unwrap_or(0.0) as usize,
+            Word::More => fields.number("page").filter(|n| *n >= 1.0).unwrap_or(f64::MAX) as usize,
             Word::Full => return self.end(&id, Outcome::Full, None),
             Word::Past => return self.end(&id, Outcome::TimedOut, None),
             _ => return self.end(&id, Outcome::Error, None),
         };
         let Some(f) = self.flights.get_mut(&id) else { return };
-        if let (Some(at @ None), Some(mut b)) = (f.pages.get_mut(page), self.shared.pool.lend()) {
-            b.append(body);
-            *at = Some(b);
-        } else {
-            // Out of turn, or no room for it: pages that still come must not be taken for the next forward's.
-            return self.drop_link(link, Outcome::Reset);
+        let before: usize = f.pages.iter().flatten().map(|b| b.bytes().len()).sum();
+        match f.pages.get_mut(page) {
+            Some(Some(_)) => return,
+            Some(at) if lines::whole_rows(body) && before + body.len() <= RESULT_MOST => {
+                *at = self.shared.pool.lend();
+                match at {
+                    Some(b) => b.append(body),
+                    // No room for it: pages that still come must not be taken for the next forward's.
+                    None => return self.drop_link(link, Outcome::Swept),
+                };
+            }
+            _ => return self.spoilt(link, "no such page"),
         }
         if f.pages.iter().all(Option::is_some) {
             let (rows, work) = (std::mem::take(&mut f.pages), f.work);
@@ -336,11 +368,20 @@
         self.events.push(Event::Ended { id: *id, what, rows });
     }
 
+    /// One loss speaks against the engine once, by its longest open forward; what else was open there went
+    /// with the connection. What still waited for it was never written.
     fn drop_link(&mut self, link: u64, how: Outcome) {
-        if self.links.remove(&link).is_some() {
-            let on = self.flights.iter().filter(|f| f.1.link == link);
-            let on: Vec<Id> = on.map(|f| *f.0).collect();
-            on.iter().for_each(|id| self.end(id, how, None));
+        let Some(l) = self.links.remove(&link) else { return };
+        let on = self.flights.iter().filter(|f| f.1.link == link);
+        let mut on: Vec<(Ms, Id)> = on.map(|f| (f.1.sent, *f.0)).collect();
+        on.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (nth, (_, id)) in on.iter().enumerate() {
+            let how = match (l.waiting.contains(id), nth, how) {
+                (true, 0, Outcome::NoConnection) | (false, 0, _) => how,
+                (true, ..) => Outcome::Unsent,
+                _ => Outcome::Swept,
+            };
+            self.end(id, how, None);
         }
     }
 
@@ -349,9 +390,14 @@
         (l.up && l.open == 0).then_some(l.idle_since + rest)
     }
 
+    /// An answer is written at once: half of one for longer than a connection takes to come up is all of it.
+    fn part_until(&self, l: &Link) -> Option<Ms> {
+        l.part_since.map(|since| since + self.shared.carriage.connect_within)
+    }
+
     fn due(&self) -> Option<Ms> {
-        let idle = self.links.values().filter_map(|l| self.idle_until(l));
-        self.flights.values().map(|f| f.of.limit).chain(idle).min_by(f64::total_cmp)
+        let links = self.links.values().flat_map(|l| [self.idle_until(l), self.part_until(l)]).flatten();
+        self.flights.values().map(|f| f.of.limit).chain(links).min_by(f64::total_cmp)
     }
 
     fn expire(&mut self) {
@@ -359,6 +405,9 @@
         let late = self.flights.iter().filter(|f| f.1.of.limit <= now);
         let late: Vec<Id> = late.map(|f| *f.0).collect();
         late.iter().for_each(|id| self.end(id, Outcome::TimedOut, None));
+        let half = self.links.iter().filter(|l| self.part_until(l.1).is_some_and(|t| t <= now));
+        let half: Vec<u64> = half.map(|l| *l.0).collect();
+        half.into_iter().for_each(|l| self.spoilt(l, "no end"));
         let idle = self.links.iter().filter(|l| self.idle_until(l.1).is_some_and(|t| t <= now));
         let idle: Vec<u64> = idle.map(|l| *l.0).collect();
         idle.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -15,14 +15,14 @@
 use std::rc::Rc;
 
 /// What may lie in an engine's mailbox: beyond that nothing is sent there, and the module is told so.
-const MAILBOX: usize = 4096;
+const MAILBOX: usize = 1024;
 
 /// A submission's id as its client wrote it.
 pub type Id = [u8; 16];
 
 pub enum Event {
     Taken(Box<Taken>),
-    Left(Id),
+    Left(Id, Sender<Reply>),
     Ended {
         id: Id,
         what: Outcome,
@@ -54,6 +54,8 @@
     priority: Option<u8>,
     client: Option<Sender<Reply>>,
     engine: Option<usize>,
+    /// Engines it was forwarded to: the module remembers them as long as it is held.
+    met: Vec<usize>,
 }
 
 struct Known {
@@ -101,6 +103,7 @@
         let id = self.subs.id(submission);
         let Some(h) = self.held(submission) else { return };
         h.engine = Some(engine);
+        h.met.push(engine);
         let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
         let of = Forward { id, band, statement, priority, limit };
         if !self.order(engine, Order::Forward(of)) {
@@ -179,11 +182,12 @@
                 gateway.due(now, &mut hands);
             }
             Some(Event::Taken(t)) => take(&mut gateway, &mut hands, *t),
-            Some(Event::Left(id)) => {
-                if let Some(s) = hands.subs.find(id) {
-                    if let Some(h) = hands.held[s].as_mut() {
-                        h.client = None;
-                    }
+            Some(Event::Left(id, client)) => {
+                let Some(s) = hands.subs.find(id) else { continue };
+                // Only its own client takes it back, not who sent another under the same id.
+                let own = |h: &&mut Held| h.client.as_ref().is_some_and(|c| c.same_channel(&client));
+                if let Some(h) = hands.held[s].as_mut().filter(own) {
+                    h.client = None;
                     gateway.left(now, s, &mut hands);
                 }
             }
@@ -231,6 +235,7 @@
         priority: None,
         client: Some(t.client),
         engine: None,
+        met: Vec::new(),
     });
     gateway.take(hands.now, s, Submission { left: limit - hands.now, ..t.of }, hands);
 }
@@ -241,6 +246,13 @@
             e.orders.close();
         }
     }
+    // The one place where an engine's index is given back: once it is gone and no submission held met it.
+    for at in 0..hands.engines.len() {
+        if hands.engines[at].is_none() && !hands.held.iter().flatten().any(|h| h.met.contains(&at)) {
+            hands.names.release(at);
+        }
+    }
+    hands.shared.listed.set(lines.len());
     let mut listed = Vec::new();
     for (name, place) in lines {
         let id = number(&name);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -16,6 +16,7 @@
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
 use slog::{info, warn};
+use std::cell::Cell;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -75,7 +76,8 @@
         clock: Clock::start(),
         // A third: what else there is grows with it, statements joined and answers being written.
         pool: Pool::of((told.memory_mb * 1e6 / 3.0) as usize),
-        links_most: (told.descriptors / 64).max(2),
+        links_most: told.descriptors / 4,
+        listed: Cell::new(0),
         bands: told.bands,
         expected,
         carriage: told.carriage,
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -161,6 +161,10 @@
     }
 }
 
+fn framed(message: &str) -> String {
+    format!("Content-Length: {}\r\n\r\n{message}", message.len())
+}
+
 struct Client(BufReader<TcpStream>);
 
 impl Client {
@@ -178,8 +182,7 @@
         }
     }
     fn say(&mut self, message: &str) {
-        let framed = format!("Content-Length: {}\r\n\r\n{message}", message.len());
-        self.0.get_mut().write_all(framed.as_bytes()).unwrap();
+        self.0.get_mut().write_all(framed(message).as_bytes()).unwrap();
     }
     /// The statement is the text `select 1`.
     fn ask(&mut self, call: u64) {
@@ -260,7 +263,7 @@
 fn failures_before_the_last_row_are_forwarded_again() {
     // Against answers that began and ended with their engine: nothing of them may reach the client.
     let (half, _) =
-        engine(|line, _| (format!("{} DONE pages=2,cost=5 2\r\nx\n\r\n", id(line)).into_bytes(), true));
+        engine(|line, _| (format!("{} DONE pages=2,cost=5 4\r\nx\t\t\n\r\n", id(line)).into_bytes(), true));
     let (full, _) = engine(|line, _| (format!("{} WAIT - 0\r\n\r\n", id(line)).into_bytes(), false));
     let (broke, _) = engine(|line, _| (format!("{} BROKE - 0\r\n\r\n", id(line)).into_bytes(), false));
     let (spoilt, _) = engine(|line, _| (format!("{} HUH - 0\r\n\r\n", id(line)).into_bytes(), false));
@@ -276,18 +279,64 @@
 }
 
 #[test]
-fn a_page_out_of_turn_ends_its_connection_and_nothing_more() {
-    // The first forward's late pages must not be taken for the second's: that one has a connection of its own.
-    let first = Mutex::new(true);
-    let (at, _) = engine(move |line, _| {
-        let spoilt = std::mem::replace(&mut *first.lock().unwrap(), false);
-        let pages = format!("{0} DONE pages=3,cost=1,need=1 1\r\na\r\n{0} MORE page=9 1\r\nb\r\n", id(line));
-        (if spoilt { pages.into_bytes() } else { done(line, "x\ty\tz\n") }, false)
+fn spoilt_answers_end_their_connection_at_once_and_nothing_more() {
+    // The second of three forwards is spoilt; late pages of it must not be taken for the next forward's.
+    for (nth, spoilt) in [
+        "{0} DONE pages=3,cost=1,need=1 4\r\na\t\t\n\r\n{0} MORE page=9 4\r\nb\t\t\n\r\n",
+        "{0} DONE pages=1,cost=1 4\r\na\tb\n\r\n",
+        "{0} DONE pages=1,cost=1 3\r\na\t\t\r\n",
+        "{0} DONE pages=1000000,cost=1 0\r\n\r\n",
+        "{0} DONE pages=1,cost=1 3000000000\r\nand so on",
+        "{0} DONE pages=1,cost=1 4\r\na\t",
+        "{0} DO",
+        "{0} DONE - 0\r\n\r\n",
+        "\u{1}\u{2}\u{3}\r\n",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let calls = Mutex::new(0);
+        let (at, seen) = engine(move |line, _| {
+            let mut calls = calls.lock().unwrap();
+            *calls += id(line).ends_with('2') as u32;
+            let answer = match (id(line).ends_with('2'), *calls) {
+                (true, 1) => spoilt.replace("{0}", id(line)).into_bytes(),
+                (true, _) => done(line, "x\ty\tz\n"),
+                _ => vec![],
+            };
+            (answer, false)
+        });
+        let g = gateway(&format!("spoilt-{nth}"), &[("e1", at)]);
+        let mut c = Client::of(&g);
+        let started = Instant::now();
+        (1..4).for_each(|call| c.ask(call));
+        assert_eq!(c.rows().0, 2, "{spoilt}");
+        assert!(started.elapsed() < Duration::from_millis(900), "{spoilt}");
+        assert!(soon(|| seen.lock().unwrap().len() >= 4), "{spoilt}");
+        assert_eq!(seen.lock().unwrap().len(), 4, "those on other connections are not sent again: {spoilt}");
+    }
+}
+
+#[test]
+fn good_answers_that_bring_more_than_is_theirs_do_no_harm() {
+    let (at, seen) = engine(|line, _| {
+        let page = |word: &str| format!("{} {word} 4\r\nx\t\t\n\r\n", id(line));
+        let ahead = "00000000000000ff DONE - 4\r\ny\t\t\n\r\n".to_string();
+        let (first, second) = (page("DONE pages=2,cost=1"), page("MORE page=1"));
+        let answer = match line.split(' ').next().unwrap() {
+            "fetch" => [ahead, first.clone(), first].concat(),
+            "more" => [second.clone(), second].concat(),
+            _ => String::new(),
+        };
+        (answer.into_bytes(), false)
     });
-    let g = gateway("turn", &[("e1", at)]);
+    let g = gateway("more", &[("e1", at)]);
     let mut c = Client::of(&g);
-    c.ask(1);
-    assert_eq!(c.rows(), (1, b"x\ty\tz\n".to_vec()));
+    for call in 1..9 {
+        c.ask(call);
+        assert_eq!(c.rows(), (call, b"x\t\t\nx\t\t\n".to_vec()));
+    }
+    assert_eq!(seen.lock().unwrap().iter().filter(|l| l.starts_with("fetch")).count(), 8);
 }
 
 #[test]
@@ -300,10 +349,17 @@
     let (mut c, mut other) = (Client::of(&g), Client::of(&g));
     c.ask(1);
     assert!(soon(|| seen.lock().unwrap().len() == 1));
-    other.say(
-        r#"{"jsonrpc":"2.0","id":5,"method":"lookup","params":{"id":"0000000000000001","wait":400,"bytes":""}}"#,
-    );
+    let again = |call: u64| {
+        let fields = r#""id":"0000000000000001","wait":400,"bytes":"""#;
+        format!(r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{{fields}}}}}"#)
+    };
+    other.say(&again(5));
     assert_eq!(other.hear()["error"]["code"], -32602, "an id in use");
+    let both = [again(6).as_str(), r#"{"jsonrpc":"2.0","method":"interrupt","params":{"id":6}}"#].map(framed);
+    other.0.get_mut().write_all(both.concat().as_bytes()).unwrap();
+    assert_eq!(c.rows().0, 1, "it is not another's to take back");
+    c.ask(1);
+    assert!(soon(|| seen.lock().unwrap().len() == 2));
     c.ask(1);
     let again = c.hear();
     assert_eq!(
@@ -477,11 +533,11 @@
 #[test]
 fn the_name_service_is_followed() {
     let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
-    let ((old, old_seen), (new, _)) = (answers("old\n"), answers("new\n"));
+    let ((old, old_seen), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
     let g = gateway("names", &[("e1", old)]);
     let mut c = Client::of(&g);
     c.ask(1);
-    assert_eq!(c.rows(), (1, b"old\n".to_vec()));
+    assert_eq!(c.rows(), (1, b"old\t\t\n".to_vec()));
     *g.roster.lock().unwrap() = answer(2, &[("e1", old, 1), ("e2", new, 0)]);
     let mut call = 1;
     let mut until = |c: &mut Client, row: &str| {
@@ -491,24 +547,24 @@
             c.rows() == (call, row.as_bytes().to_vec())
         })
     };
-    assert!(until(&mut c, "new\n"));
+    assert!(until(&mut c, "new\t\t\n"));
     let before = old_seen.lock().unwrap().len();
     for _ in 0..10 {
-        assert!(until(&mut c, "new\n"));
+        assert!(until(&mut c, "new\t\t\n"));
     }
     assert_eq!(old_seen.lock().unwrap().len(), before, "nothing new to a draining engine");
     *g.roster.lock().unwrap() = b"no list at all".to_vec();
     thread::sleep(Duration::from_millis(300));
-    assert!(until(&mut c, "new\n"), "the last good list stays");
+    assert!(until(&mut c, "new\t\t\n"), "the last good list stays");
     // Gone, and its address is another's now: what was open with the old one is sent anew.
     *g.roster.lock().unwrap() = answer(3, &[("e3", old, 0)]);
-    assert!(until(&mut c, "old\n"));
+    assert!(until(&mut c, "old\t\t\n"));
 }
 
 #[test]
 fn a_new_configuration_moves_the_name_service_and_nothing_else() {
     let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
-    let ((old, _), (new, _)) = (answers("old\n"), answers("new\n"));
+    let ((old, _), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
     let mut g = gateway("reload", &[("e1", old)]);
     let mut c = Client::of(&g);
     let mut call = 0;
@@ -517,14 +573,14 @@
         c.ask(call);
         c.rows().1
     };
-    assert_eq!(row(&mut c), b"old\n");
+    assert_eq!(row(&mut c), b"old\t\t\n");
     // Against a signal that ends the process, a file that can't be used, and an old address still believed.
     let told = std::fs::read_to_string(g.dir.join("told.json")).unwrap();
     std::fs::write(g.dir.join("told.json"), "{").unwrap();
     g.signal("-HUP");
     thread::sleep(Duration::from_millis(100));
     let mut v: Value = serde_json::from_str(&told).unwrap();
-    for (serial, (at, want)) in [(new, b"new\n"), (old, b"old\n")].into_iter().enumerate() {
+    for (serial, (at, want)) in [(new, b"new\t\t\n"), (old, b"old\t\t\n")].into_iter().enumerate() {
         let (names, roster) = name_service();
         v["names"] = json!(names.to_string());
         std::fs::write(g.dir.join("told.json"), v.to_string()).unwrap();
--- a/crates/protocol/src/lines.rs
+++ b/crates/protocol/src/lines.rs
@@ -43,6 +43,14 @@
     std::str::from_utf8(text).ok()?.parse().ok().filter(|x: &f64| x.is_finite())
 }
 
+/// Whether a page is what a page can be: whole rows of three text columns.
+pub fn whole_rows(page: &[u8]) -> bool {
+    let mut rows = page.split(|b| *b == b'\n');
+    rows.next_back().is_some_and(<[u8]>::is_empty)
+        && rows.all(|row| row.iter().filter(|b| **b == b'\t').count() == 2)
+        && std::str::from_utf8(page).is_ok()
+}
+
 /// Hands over the first answer and says how many bytes it took; none while it is not whole.
 pub fn read(
     bytes: &[u8],
--- a/src/door.rs
+++ b/src/door.rs
@@ -43,8 +43,26 @@
     }
 
     pub fn release(&mut self, index: usize) {
-        if self.index.remove(&self.ids[index]).is_some() {
+        // An id that came back since under another index keeps that.
+        if self.find(self.ids[index]) == Some(index) {
+            self.index.remove(&self.ids[index]);
             self.free.push(index);
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_index_given_back_twice_is_not_taken_from_an_id_that_came_back() {
+        let mut door = Door::default();
+        assert_eq!((door.admit('a'), door.admit('b')), (0, 1));
+        door.release(0);
+        door.release(1);
+        assert_eq!(door.admit('a'), 1);
+        door.release(0);
+        assert_eq!((door.find('a'), door.admit('c'), door.id(0)), (Some(1), 0, 'c'));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -146,6 +146,8 @@
     TimedOut,
     NoConnection,
     Reset,
+    /// Lost with a connection on another forward's account: it may have run, and says nothing of the engine.
+    Swept,
     Withdrawn,
     Unsent,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -220,11 +220,11 @@
                 self.engines.resize_with(line.engine + 1, Engine::default);
             }
             let e = &mut self.engines[line.engine];
-            // A new start leaves nothing of the old process worth judging it by.
-            if e.pace.is_empty() || e.listed.since != line.since {
-                e.cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
-                e.pace = vec![Fade::default(); self.m.bands.len()];
-                (e.record, e.seen, e.aside, e.full_until) = (0, 0, None, 0.0);
+            // A new start, or another engine under an index given back, leaves nothing worth judging it by.
+            if e.pace.is_empty() || e.listed.since != line.since || e.listed.id != line.id {
+                let cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
+                let pace = vec![Fade::default(); self.m.bands.len()];
+                *e = Engine { cores, pace, threads: e.threads, ..Default::default() };
             }
             e.listed = *line;
         }
@@ -290,7 +290,7 @@
             // The budget leaves out forwards that were never sent.
             self.further.iter().rposition(|&t| t == fwd.sent).map(|i| self.further.remove(i));
         }
-        if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn) && keyed {
+        if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Swept | Outcome::Withdrawn) && keyed {
             self.keys.entry(s.of.key).or_default().1 = now + self.m.key_rest;
         }
         if let Outcome::Settled(Some(work)) = what {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -221,7 +221,7 @@
             for o in self.held[..i].iter().filter(same) {
                 let doubt = |t: &Try| match t.end {
                     None => true,
-                    Some((at, Outcome::TimedOut | Outcome::Reset | Outcome::Withdrawn)) => {
+                    Some((at, Outcome::TimedOut | Outcome::Reset | Outcome::Swept | Outcome::Withdrawn)) => {
                         now < at + self.m.key_rest
                     }
                     _ => false,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -149,6 +149,22 @@
     assert!(back > 3, "the engine is back");
 }
 
+#[test]
+fn what_went_with_a_connection_and_what_another_engine_left_behind_set_nobody_aside() {
+    let (mut g, mut now) = (start(two_bands(), 3), 1.0);
+    let end = |what| move |_, engine| (10.0, if engine == 1 { what } else { Outcome::Settled(None) });
+    let swept = serve(&mut g, &mut now, 200, end(Outcome::Swept));
+    assert!(!swept.contains("set aside"), "{swept}");
+    assert!(serve(&mut g, &mut now, 60, end(Outcome::Reset)).contains("set aside"));
+    g.roster(now, false, &[Listed { id: 99, ..line(1) }], &mut Sheet::default());
+    let mut met = 0;
+    serve(&mut g, &mut now, 9, |_, engine| {
+        met += (engine == 1) as u32;
+        (10.0, Outcome::Settled(None))
+    });
+    assert!(met > 1, "another engine under the index of one set aside");
+}
+
 #[test]
 fn half_the_engines_out_of_reach_are_all_set_aside() {
     let (mut g, mut now, mut late) = (start(two_bands(), 4), 1.0, 0);
