--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,7 @@
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 5;
-/// This many times its peers' pace is a fault of the engine, not of its load.
+/// This many times its peers' pace is a fault of the engine, not of its load; of one forward, maybe a loss.
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
 const TRICKLE: Ms = 1000.0;
@@ -93,12 +93,11 @@
     record: u32,
     seen: u32,
     pace: Vec<Fade>,
+    fine: Vec<Ms>, // by band: when the latest sent of those settled before they were overdue was sent
     full_until: Ms,
-    /// When set aside: when the next of the trickle may go, and the gap between them.
-    aside: Option<(Ms, Ms)>,
+    aside: Option<(Ms, Ms)>, // when set aside: when the next of the trickle may go, and the gap between
     cold_sent: VecDeque<(Ms, f64)>,
-    /// When the engine was asked or last reported, and the largest share of it that was in use.
-    report: Option<(Ms, f64)>,
+    report: Option<(Ms, f64)>, // when asked or last reported, and the largest share of it in use
 }
 
 impl Engine {
@@ -177,8 +176,7 @@
     subs: Vec<Taken>,
     flying: Vec<usize>,
     bands: Vec<Band>,
-    /// Who waits for a key, in order, and until when it rests.
-    keys: BTreeMap<u64, (VecDeque<usize>, Ms)>,
+    keys: BTreeMap<u64, (VecDeque<usize>, Ms)>, // who waits for a key, in order, and until when it rests
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     probes: f64,
@@ -223,19 +221,19 @@
             // A new start, or another engine under an index given back, leaves nothing worth judging it by.
             if e.pace.is_empty() || e.listed.since != line.since || e.listed.id != line.id {
                 let cores = self.m.kinds.get(line.kind as usize).map_or(1.0, |k| k.cores);
-                let pace = vec![Fade::default(); self.m.bands.len()];
-                *e = Engine { cores, pace, threads: e.threads, ..Default::default() };
+                let (pace, fine) = (vec![Fade::default(); self.m.bands.len()], vec![0.0; self.m.bands.len()]);
+                *e = Engine { cores, pace, fine, threads: e.threads, ..Default::default() };
             }
             e.listed = *line;
         }
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn roster_lost(&mut self, now: Ms, out: &mut dyn Outlet) {
         // Not at once: all gateways lose the list together and would ask together.
         let later = now + 500.0 + (self.chance.lot() % 1000) as f64;
         self.subscribe_at = self.m.must_subscribe.then_some(later);
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn take(&mut self, now: Ms, sub: usize, of: Submission, out: &mut dyn Outlet) {
@@ -268,7 +266,7 @@
         }
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(AT_ONCE);
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn outcome(&mut self, now: Ms, sub: usize, what: Outcome, closed: bool, out: &mut dyn Outlet) {
@@ -307,6 +305,7 @@
         match what {
             Outcome::Settled(_) => {
                 if !fwd.overdue {
+                    e.fine[b] = e.fine[b].max(fwd.sent);
                     e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, blind);
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
@@ -320,7 +319,7 @@
             true => self.close(sub, out),
             false => self.bands[b].line.push(sub),
         }
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn progress(&mut self, now: Ms, sub: usize, share: f64, out: &mut dyn Outlet) {
@@ -332,7 +331,7 @@
             let (engine, b, done) = (f.engine, s.of.band, (done - before) * s.work);
             self.learn(engine, b, (now - then) * self.m.bands[b].threads, done);
         }
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     /// What an engine tells of itself, in the order that the mandate names; nothing when it does not answer.
@@ -344,24 +343,20 @@
         if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
             self.engines[engine].report = Some((now, most));
         }
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn left(&mut self, now: Ms, sub: usize, out: &mut dyn Outlet) {
         self.close(sub, out);
-        self.settle(now, out);
-    }
-
-    pub fn due(&mut self, now: Ms, out: &mut dyn Outlet) {
-        self.settle(now, out);
+        self.due(now, out);
     }
 
     pub fn ending(&mut self, now: Ms, at: Ms, out: &mut dyn Outlet) {
         self.subs.iter_mut().for_each(|s| s.limit = s.limit.min(at));
-        self.settle(now, out);
+        self.due(now, out);
     }
 
-    fn settle(&mut self, now: Ms, out: &mut dyn Outlet) {
+    pub fn due(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
         while RULES.iter().any(|rule| rule(self, out)) {}
     }
@@ -378,18 +373,23 @@
     }
 
     // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
-    // expected time counts as one. Where nobody can meet that, no engine is worse than its peers.
-    fn count_the_overdue(&mut self, _: &mut dyn Outlet) -> bool {
+    // expected time counts as one. Against answers that get lost: one that was sent in the later half of its
+    // time is settled, so this says nothing of the pace, and goes again while that can still be in time.
+    fn count_the_overdue(&mut self, out: &mut dyn Outlet) -> bool {
         for n in 0..self.flying.len() {
-            let s = &mut self.subs[self.flying[n]];
+            let (sub, now, s) = (self.flying[n], self.now, &self.subs[self.flying[n]]);
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
-            let Some(f) = s.out.as_mut().filter(|f| !f.overdue) else { continue };
-            if self.now - f.sent > within(terms, s.work) {
-                f.overdue = true;
-                self.engines[f.engine].judge(self.now, false, self.blind);
-                let (engine, spent) = (f.engine, (self.now - f.counted.0) * terms.threads);
-                f.counted.0 = self.now;
-                self.learn(engine, b, spent, 0.0);
+            let Some(f) = s.out.filter(|f| !f.overdue) else { continue };
+            let (elapsed, most, usual) = (now - f.sent, within(terms, s.work), self.service(b, s.work));
+            let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
+            let lost = overtaken && elapsed > (2.0 * SLOW * usual).max(most / 2.0);
+            if lost || elapsed > most {
+                let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
+                let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
+                self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
+                self.engines[f.engine].judge(now, false, self.blind);
+                self.learn(f.engine, b, if overtaken { 0.0 } else { spent }, 0.0);
+                again.then(|| out.withdraw(sub, nth));
             }
         }
         false
@@ -401,13 +401,11 @@
         let least = if self.blind { 1 } else { BAD };
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
-        if (aside + 1) * 2 > n {
-            return false;
-        }
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
         let share = |bad: u32, seen: u32| bad as f64 / seen.max(1) as f64;
         let worse = |e: &Engine| {
-            e.in_use()
+            (aside + 1) * 2 <= n
+                && e.in_use()
                 && e.failures() >= least
                 && share(e.failures(), e.seen) > 2.0 * share(bad - e.failures(), seen - e.seen)
         };
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -165,6 +165,31 @@
     assert!(met > 1, "another engine under the index of one set aside");
 }
 
+#[test]
+fn a_forward_that_later_ones_overtook_goes_again_where_it_may_and_slows_nobody() {
+    // Against answers that get lost: waited for, they cost their submissions and make every engine look jammed.
+    for repeat in [Repeat::Repeatable, Repeat::OnceOnly] {
+        let m = Mandate { may_withdraw: true, ..mandate(vec![band(1.0, 1.0, repeat)]) };
+        let (mut g, mut sheet, mut now) = (start(m, 1), Sheet::default(), 1.0);
+        let of = Submission { left: 20_000.0, ..ask(0, 100.0) };
+        assert_eq!(send(&mut g, now, 0, of).len(), 1);
+        while now < 600.0 && !sheet.0.contains(&Act::Other("withdraw")) {
+            g.take(now, 1, of, &mut sheet);
+            now += 50.0;
+            g.outcome(now, 1, Outcome::Settled(None), true, &mut sheet);
+        }
+        assert_eq!(sheet.0.contains(&Act::Other("withdraw")), repeat == Repeat::Repeatable);
+        assert!(now > 350.0, "not before half of its expected time, {now}");
+        if repeat == Repeat::Repeatable {
+            let mut sheet = Sheet::default();
+            g.outcome(now, 0, Outcome::Withdrawn, false, &mut sheet);
+            assert_eq!(sheet.forwards(), [(0, 0)]);
+        }
+        let wide = (2..40).map(|i| send(&mut g, now, i, of).len()).sum::<usize>();
+        assert_eq!(wide, 38, "no pressure");
+    }
+}
+
 #[test]
 fn half_the_engines_out_of_reach_are_all_set_aside() {
     let (mut g, mut now, mut late) = (start(two_bands(), 4), 1.0, 0);
