--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -116,7 +116,7 @@
 
     /// Until a connection on which nothing is open has been quiet for too long, or a message, begun at `since`,
     /// has been under way for too long, or the place is needed.
-    async fn impatient(&self, since: Option<Ms>) -> io::Result<()> {
+    async fn impatient(&self, stream: &Async<TcpStream>, since: Option<Ms>) -> io::Result<()> {
         let seat = &self.place.seat;
         loop {
             let heard = seat.bell.listen();
@@ -143,6 +143,10 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         self.quiet().await;
+        if stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0) {
+            // A call that is here already, unread on a busy machine: closed now, it would be lost.
+            return pending().await;
+        }
         Err(io::ErrorKind::ConnectionAborted.into())
     }
 
@@ -152,13 +156,13 @@
             let (mut buffer, since) = match held.take() {
                 Some(held) => held,
                 None => {
-                    or(stream.readable(), self.impatient(None)).await?;
+                    or(stream.readable(), self.impatient(stream, None)).await?;
                     (self.shared.pool.spare().await, self.shared.clock.now())
                 }
             };
             let n = {
                 let read = async { (&mut &*stream).read(buffer.space()).await };
-                or(read, async { self.impatient(Some(since)).await.map(|()| 0) }).await?
+                or(read, async { self.impatient(stream, Some(since)).await.map(|()| 0) }).await?
             };
             if n == 0 {
                 // The client's way alone may have ended: who wants no answer any more says so by a call.
@@ -180,7 +184,7 @@
                     buffer.consume(head);
                     let since = if whole { self.shared.clock.now() } else { since };
                     let read = self.long(stream, &mut buffer, length);
-                    let late = async { self.impatient(Some(since)).await.map(|()| Chain::default()) };
+                    let late = async { self.impatient(stream, Some(since)).await.map(|()| Chain::default()) };
                     let chain = or(read, late).await?;
                     self.message(&chain.joined()).await?;
                 } else {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -12,7 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::{block_on, Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
 use slog::{info, warn};
@@ -104,8 +104,10 @@
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => {
-                        let place = places.take(shared.clock.now()).await;
+                        let place = places.take(&shared.clock).await;
                         executor.spawn(client::serve(stream, shared.clone(), place)).detach();
+                        // Each is heard before the next is let in, which may need its place.
+                        yield_now().await;
                     }
                     Err(_) => drop(Timer::after(span(NO_DESCRIPTOR)).await),
                 }
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -516,6 +516,25 @@
     assert!((16..100).contains(&heard), "{heard}");
 }
 
+#[test]
+fn a_crowd_that_needs_more_places_than_there_are_is_answered_to_the_last() {
+    // Against places taken from connections whose first call had come but was not read yet.
+    let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    let g = gateway("crowd", &[("e1", at)]);
+    Client::of(&g).ask(9999);
+    for round in 0..2 {
+        let first = 1 + 700 * round;
+        let mut crowd: Vec<Client> = (first..first + 700)
+            .map(|call| {
+                let mut c = Client::of(&g);
+                c.ask(call);
+                c
+            })
+            .collect();
+        crowd.iter_mut().zip(first..).for_each(|(c, call)| assert_eq!(c.hear()["id"], call));
+    }
+}
+
 #[test]
 fn a_client_that_has_sent_its_last_still_gets_its_answers() {
     let (at, _) = engine(|line, _| {
