--- a/src/logic.rs
+++ b/src/logic.rs
@@ -374,7 +374,7 @@
 
     // Against engines that take work and keep it: no outcome ever comes to judge them by, so passing the
     // expected time counts as one. Against answers that get lost: one that was sent in the later half of its
-    // time is settled, so this says nothing of the pace, and goes again while that can still be in time.
+    // time is settled, so this says nothing of the pace, and from five times its usual time on goes again.
     fn count_the_overdue(&mut self, out: &mut dyn Outlet) -> bool {
         for n in 0..self.flying.len() {
             let (sub, now, s) = (self.flying[n], self.now, &self.subs[self.flying[n]]);
@@ -382,8 +382,8 @@
             let Some(f) = s.out.filter(|f| !f.overdue) else { continue };
             let (elapsed, most, usual) = (now - f.sent, within(terms, s.work), self.service(b, s.work));
             let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
-            let lost = overtaken && elapsed > (2.0 * SLOW * usual).max(most / 2.0);
-            if lost || elapsed > most {
+            if elapsed > most {
+                let lost = overtaken && elapsed > 2.0 * SLOW * usual;
                 let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
                 let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
                 self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
