--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -613,6 +613,40 @@
     assert!(g.process.try_wait().unwrap().is_none());
 }
 
+#[test]
+fn a_name_service_slower_than_the_questions_come_is_followed() {
+    // Against answers that are each thrown away because the next question is out already.
+    let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
+    let ((old, _), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
+    let g = gateway("late", &[("e1", old)]);
+    let service = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let names = service.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut query, mut asked, mut stray) = ([0; 512], Vec::new(), answer(9, &[]));
+        stray.truncate(20);
+        while let Ok((_, from)) = service.recv_from(&mut query) {
+            asked.push([query[0], query[1]]);
+            let _ = service.send_to(&[&query[..2], &stray].concat(), from);
+            if let Some(late) = asked.len().checked_sub(4) {
+                let _ = service.send_to(&[&asked[late][..], &answer(2, &[("e2", new, 0)])].concat(), from);
+            }
+        }
+    });
+    let mut c = Client::of(&g);
+    c.ask(1);
+    assert_eq!(c.rows().1, b"old\t\t\n");
+    let mut v: Value = serde_json::from_slice(&std::fs::read(g.dir.join("told.json")).unwrap()).unwrap();
+    v["names"] = json!(names.to_string());
+    std::fs::write(g.dir.join("told.json"), v.to_string()).unwrap();
+    g.signal("-HUP");
+    let mut call = 1;
+    assert!(soon(|| {
+        call += 1;
+        c.ask(call);
+        c.rows().1 == b"new\t\t\n"
+    }));
+}
+
 #[test]
 fn told_to_end_it_answers_what_it_has_and_ends_well() {
     // The second call would take longer than the gateway is left, and its client would wait: that is turned back.
