An event that overtakes a wake-up no longer leaves the module without one

Seen: told_to_end_... failed in 2 of 5 runs beside the other tests: a call open at the end got no answer, the process ended 3.6 s after SIGTERM. Probe (lines at take, ending, turn back, connection ends; since removed): the call was taken, the end was told, and no turn-back came though its time was up. Cause: Hands::wake in module.rs kept the earlier of two wake-ups. Where an event came when one was due, the module asked for the next, the old one stayed, fired at once and found nothing due, and nobody asked again until the next event: a quiet gateway, as in a drain, slept past hard limits. Excluded: the limit (872903, as told), the client's actor (alive), the timers' rounding (clock.rs has its test). Change: the newer wake-up replaces the older; the module asks only once the last is due. Test: an_event_that_overtakes_a_wake_up_..., 15 where 21 is wanted without; the drain test ten times green.

--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -77,6 +77,20 @@
 }
 
 impl Hands {
+    fn new(shared: Rc<Shared>) -> Self {
+        Hands {
+            now: shared.clock.now(),
+            shared,
+            subs: Door::default(),
+            held: Vec::new(),
+            open: 0,
+            names: Door::default(),
+            engines: Vec::new(),
+            wake: None,
+            ends: Ms::INFINITY,
+        }
+    }
+
     fn held(&mut self, submission: usize) -> Option<&mut Held> {
         self.held.get_mut(submission).and_then(Option::as_mut)
     }
@@ -141,8 +155,8 @@
         self.order(engine, Order::Report);
     }
     fn wake(&mut self, after: Ms) {
-        let at = self.now + after;
-        self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+        // In the place of one that is due by now: that would find nothing due yet, and nobody would ask again.
+        self.wake = Some(self.now + after);
     }
     fn note(&mut self, text: &str) {
         info!(self.shared.log, "{}", text);
@@ -161,17 +175,7 @@
 }
 
 pub async fn decide(mut gateway: Gateway, shared: Rc<Shared>, events: Receiver<Event>) {
-    let mut hands = Hands {
-        now: shared.clock.now(),
-        shared,
-        subs: Door::default(),
-        held: Vec::new(),
-        open: 0,
-        names: Door::default(),
-        engines: Vec::new(),
-        wake: None,
-        ends: Ms::INFINITY,
-    };
+    let mut hands = Hands::new(shared);
     loop {
         let Ok(event) = next(&hands.shared.clock, &events, hands.wake).await else { return };
         let now = hands.shared.clock.now();
@@ -280,3 +284,40 @@
     }
     gateway.roster(hands.now, true, &listed, hands);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::Clock;
+    use crate::pool::Pool;
+    use async_executor::LocalExecutor;
+    use ironstair_mandate::Carriage;
+    use slog::{o, Discard, Logger};
+    use std::cell::Cell;
+
+    #[test]
+    fn an_event_that_overtakes_a_wake_up_does_not_leave_the_next_one_out() {
+        // Against a quiet gateway that sleeps past the hard limits: a wake-up that is due already finds nothing
+        // due yet, and the module, which has asked for a later one, asks for no more.
+        let reports = Vec::new();
+        let (connect_within, idle, streams, most_open, longest) = (250.0, 3e4, 32, 100, 5000.0);
+        let shared = Rc::new(Shared {
+            clock: Clock::start(),
+            pool: Pool::of(1 << 16),
+            bands: Vec::new(),
+            expected: Vec::new(),
+            carriage: Carriage { connect_within, idle, streams, most_open, longest, reports },
+            links_most: 8,
+            listed: Cell::new(0),
+            log: Logger::root(Discard, o!()),
+            module: async_channel::bounded(1).0,
+            executor: Rc::new(LocalExecutor::new()),
+        });
+        let mut hands = Hands::new(shared);
+        hands.now = 10.0;
+        hands.wake(5.0);
+        hands.now = 16.0;
+        hands.wake(5.0);
+        assert_eq!(hands.wake, Some(21.0));
+    }
+}
