Read over: pace reckoned for late forwards only, one timer, one bound on work

No behaviour changed. count_the_overdue reckoned the fleet's pace for every flying forward after every input; only those past their expected time need it. client.rs had a second copy of the mailboxes' timer (now wait::time), of the bound on work (Shared::work_most), a flag that the time of the first byte tells by itself, and a double look-up; the tests two copies of a moved name service.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -4,9 +4,9 @@
 use crate::module::{Event, Id, Taken};
 use crate::places::Place;
 use crate::pool::{Buffer, Chain, SIZE};
-use crate::wait::{until, within};
+use crate::wait::{time, until, within};
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Async;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use futures_lite::future::or;
@@ -33,8 +33,7 @@
 /// How long what a client still sends is thrown away, so that the last word reaches it, and how much of it.
 const LAST_WORD: Ms = 300.0;
 const THROWN_AWAY: usize = 16;
-/// Beyond this no figure is meant: work in longest hard limits, memory in MB, tries.
-const WORK_MOST: f64 = 1000.0;
+/// Beyond this no figure is meant: memory in MB, tries.
 const MEMORY_MOST: f64 = 1e8;
 const TRIES_MOST: f64 = 1e4;
 
@@ -130,13 +129,7 @@
             if due <= self.shared.clock.now() {
                 break;
             }
-            let timer = async {
-                match due.is_finite() {
-                    true => drop(Timer::at(self.shared.clock.at(due)).await),
-                    false => pending().await,
-                }
-            };
-            or(heard, timer).await;
+            or(heard, time(&self.shared.clock, Some(due).filter(|d| d.is_finite()))).await;
         }
         if since.is_some() {
             self.fault(None, rpc::UNREADABLE);
@@ -153,7 +146,7 @@
     async fn read(&self, stream: &Async<TcpStream>) -> io::Result<()> {
         let mut held: Option<(Buffer, Ms)> = None;
         loop {
-            let (mut buffer, since) = match held.take() {
+            let (mut buffer, mut since) = match held.take() {
                 Some(held) => held,
                 None => {
                     or(stream.readable(), self.impatient(stream, None)).await?;
@@ -170,7 +163,6 @@
                 return Ok(());
             }
             buffer.filled(n);
-            let mut whole = false;
             loop {
                 let (head, length) = match rpc::head(buffer.bytes()) {
                     Ok(Some(found)) => found,
@@ -182,7 +174,6 @@
                 };
                 if head + length > SIZE {
                     buffer.consume(head);
-                    let since = if whole { self.shared.clock.now() } else { since };
                     let read = self.long(stream, &mut buffer, length);
                     let late = async { self.impatient(stream, Some(since)).await.map(|()| Chain::default()) };
                     let chain = or(read, late).await?;
@@ -192,10 +183,10 @@
                     self.message(message).await?;
                     buffer.consume(head + length);
                 }
-                whole = true;
+                since = self.shared.clock.now();
             }
             if !buffer.bytes().is_empty() {
-                held = Some((buffer, if whole { self.shared.clock.now() } else { since }));
+                held = Some((buffer, since));
             }
         }
     }
@@ -207,7 +198,7 @@
         while missing > 0 {
             // Not waited for: many that each wait for one more would wait for each other.
             let Some(mut part) = self.shared.pool.lend_long() else {
-                self.plain(|m| rpc::error(m, None, rpc::TURNED_BACK, "turned back", 0.0));
+                self.no_room(None);
                 return Err(io::ErrorKind::OutOfMemory.into());
             };
             let n = if first.bytes().is_empty() {
@@ -239,11 +230,9 @@
             Ok(None) => Ok(()),
             Err((call, code)) => {
                 self.fault(call, code);
-                let most = self.faults.get() >= FAULTS_MOST;
-                if most {
-                    Err(io::ErrorKind::InvalidData.into())
-                } else {
-                    Ok(())
+                match self.faults.get() < FAULTS_MOST {
+                    true => Ok(()),
+                    false => Err(io::ErrorKind::InvalidData.into()),
                 }
             }
         }
@@ -258,6 +247,10 @@
         }
     }
 
+    fn no_room(&self, call: Option<u64>) {
+        self.plain(|m| rpc::error(m, call, rpc::TURNED_BACK, "turned back", 0.0));
+    }
+
     fn fault(&self, call: Option<u64>, code: i32) {
         self.faults.set(self.faults.get() + 1);
         self.plain(|m| rpc::error(m, call, code, "not understood", 0.0));
@@ -271,7 +264,7 @@
         p: rpc::Fields,
     ) -> Result<Option<Event>, (Option<u64>, i32)> {
         if method == b"interrupt" {
-            let taken_back = p.count("id").filter(|c| self.open.borrow().contains_key(c));
+            let taken_back = p.count("id");
             let gone = taken_back.and_then(|c| self.open.borrow().get(&c).copied());
             self.over(taken_back, false);
             return Ok(gone.map(|id| Event::Left(id, self.own.clone())));
@@ -296,7 +289,7 @@
         // A little more than the longest: clients may count otherwise.
         let longest = self.shared.carriage.longest;
         let left = p.figure("wait", 2.0 * longest).ok().flatten().filter(|l| *l > 0.0).ok_or(unusable)?;
-        let work = p.figure("cost", WORK_MOST * longest).map_err(|_| unusable)?;
+        let work = p.figure("cost", self.shared.work_most()).map_err(|_| unusable)?;
         let memory = p.figure("ram", MEMORY_MOST).map_err(|_| unusable)?;
         let tries = p.figure("retry", TRIES_MOST).map_err(|_| unusable)?;
         let text = p.text("bytes").ok_or(unusable)?;
@@ -304,7 +297,7 @@
             Ok(statement) => statement.ok_or(unusable)?,
             // No buffer is left for it, and it has been nowhere yet.
             Err(_) => {
-                self.plain(|m| rpc::error(m, Some(call), rpc::TURNED_BACK, "turned back", 0.0));
+                self.no_room(Some(call));
                 return Ok(None);
             }
         };
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -20,7 +20,7 @@
 /// More pages than the longest result has, and its bytes.
 const PAGES_MOST: f64 = 64.0;
 const RESULT_MOST: usize = 48_000;
-/// Work told beyond so many longest hard limits is none.
+/// Work beyond so many longest hard limits is none that is meant.
 const WORK_MOST: f64 = 1000.0;
 /// So many connections to an engine at most: all that is open on one is lost with it.
 const LINKS_MOST: usize = 16;
@@ -85,6 +85,13 @@
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
+impl Shared {
+    /// More work than any client or engine means to tell.
+    pub fn work_most(&self) -> Ms {
+        WORK_MOST * self.carriage.longest
+    }
+}
+
 pub struct Engine {
     pub index: usize,
     pub address: SocketAddr,
@@ -317,7 +324,7 @@
                 if pages.fract() != 0.0 || !(1.0..=PAGES_MOST).contains(&pages) {
                     return self.spoilt(link, "no number of pages");
                 }
-                let most = WORK_MOST * self.shared.carriage.longest;
+                let most = self.shared.work_most();
                 f.work = fields.number("cost").filter(|w| (0.0..=most).contains(w));
                 f.pages.resize_with(pages as usize, || None);
                 if f.pages.len() > 1 {
--- a/crates/gateway/src/wait.rs
+++ b/crates/gateway/src/wait.rs
@@ -30,13 +30,18 @@
     or(work, late).await
 }
 
+/// Until the time `due`, if there is one.
+pub async fn time(clock: &Clock, due: Option<Ms>) {
+    match due {
+        Some(at) => Timer::at(clock.at(at)).await,
+        None => pending().await,
+    };
+}
+
 /// The next thing in a mailbox; none when the time `due` comes first.
 pub async fn next<T>(clock: &Clock, mailbox: &Receiver<T>, due: Option<Ms>) -> Result<Option<T>, RecvError> {
     let timer = async {
-        match due {
-            Some(at) => Timer::at(clock.at(at)).await,
-            None => pending().await,
-        };
+        time(clock, due).await;
         Ok(None)
     };
     or(async { mailbox.recv().await.map(Some) }, timer).await
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -156,6 +156,13 @@
 }
 
 impl Gateway {
+    /// Told anew: the same but for the name service's address.
+    fn moves(&self, told: &str, names: SocketAddr) {
+        let mut v: Value = serde_json::from_str(told).unwrap();
+        v["names"] = json!(names.to_string());
+        std::fs::write(self.dir.join("told.json"), v.to_string()).unwrap();
+        self.signal("-HUP");
+    }
     fn signal(&self, name: &str) {
         Command::new("kill").args([name, &self.process.id().to_string()]).status().unwrap();
     }
@@ -598,12 +605,9 @@
     std::fs::write(g.dir.join("told.json"), "{").unwrap();
     g.signal("-HUP");
     thread::sleep(Duration::from_millis(100));
-    let mut v: Value = serde_json::from_str(&told).unwrap();
     for (serial, (at, want)) in [(new, b"new\t\t\n"), (old, b"old\t\t\n")].into_iter().enumerate() {
         let (names, roster) = name_service();
-        v["names"] = json!(names.to_string());
-        std::fs::write(g.dir.join("told.json"), v.to_string()).unwrap();
-        g.signal("-HUP");
+        g.moves(&told, names);
         thread::sleep(Duration::from_millis(100));
         let serial = 2 + serial as u32;
         *g.roster.lock().unwrap() = answer(serial + 5, &[("e9", own_address(), 0)]);
@@ -635,10 +639,7 @@
     let mut c = Client::of(&g);
     c.ask(1);
     assert_eq!(c.rows().1, b"old\t\t\n");
-    let mut v: Value = serde_json::from_slice(&std::fs::read(g.dir.join("told.json")).unwrap()).unwrap();
-    v["names"] = json!(names.to_string());
-    std::fs::write(g.dir.join("told.json"), v.to_string()).unwrap();
-    g.signal("-HUP");
+    g.moves(&std::fs::read_to_string(g.dir.join("told.json")).unwrap(), names);
     let mut call = 1;
     assert!(soon(|| {
         call += 1;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -380,10 +380,10 @@
             let (sub, now, s) = (self.flying[n], self.now, &self.subs[self.flying[n]]);
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.filter(|f| !f.overdue) else { continue };
-            let (elapsed, most, usual) = (now - f.sent, within(terms, s.work), self.service(b, s.work));
-            let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
-            if elapsed > most {
-                let lost = overtaken && elapsed > 2.0 * SLOW * usual;
+            let elapsed = now - f.sent;
+            if elapsed > within(terms, s.work) {
+                let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
+                let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.work);
                 let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
                 let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
                 self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
