What crosses between actors moves to crates/mail, and the circle is gone

client, engine, link and module of the gateway imported each other in a circle, so that a front or a manager would have needed all of the gateway. Event, Taken, Reply, Order, Forward, Id, Place and Shared, with clock, pool and the ways to wait, are a package of their own now; the actors import it and not each other.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,10 +1,6 @@
 //! A client connection's actor: reads submissions, writes answers, each way by itself.
 
-use crate::engine::Shared;
-use crate::module::{Event, Id, Taken};
 use crate::places::Place;
-use crate::pool::{Buffer, Chain, SIZE};
-use crate::wait::{time, until, within};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use base64::engine::general_purpose::STANDARD;
@@ -12,6 +8,9 @@
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ironstair::{Ms, Submission};
+use ironstair_mail::pool::{Buffer, Chain, SIZE};
+use ironstair_mail::wait::{time, until, within};
+use ironstair_mail::{Event, Id, Reply, Shared, Taken};
 use ironstair_protocol::{rpc, statement};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -37,16 +36,6 @@
 const MEMORY_MOST: f64 = 1e8;
 const TRIES_MOST: f64 = 1e4;
 
-pub enum Reply {
-    Settled(u64, Chain),
-    TurnedBack(u64, Ms),
-    Scrapped(u64),
-    /// Taken under an id that is in use.
-    Unusable(u64),
-    /// What is answered without the module: a whole message.
-    Plain(Vec<u8>),
-}
-
 struct Client {
     shared: Rc<Shared>,
     place: Place,
@@ -372,7 +361,7 @@
         call: u64,
         rows: Chain,
     ) -> io::Result<()> {
-        rpc::result_start(out, call, rows.len().div_ceil(3) * 4);
+        rpc::result_start(out, call, rows.size().div_ceil(3) * 4);
         let mut over: Vec<u8> = Vec::with_capacity(SIZE + 2);
         let last = rows.0.len().saturating_sub(1);
         for (nth, page) in rows.0.into_iter().enumerate() {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,18 +1,15 @@
 //! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of
 //! the pages that have come in.
 
-use crate::clock::Clock;
 use crate::link::{carry, Parcel};
-use crate::module::{Event, Id};
-use crate::pool::{Buffer, Chain, Pool};
-use crate::wait::next;
 use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use ironstair::{Ms, Outcome};
-use ironstair_mandate::Carriage;
+use ironstair_mail::pool::{Buffer, Chain};
+use ironstair_mail::wait::next;
+use ironstair_mail::{Event, Forward, Id, Order, Shared};
 use ironstair_protocol::lines::{self, Fields, Word};
-use slog::{warn, Logger};
-use std::cell::Cell;
+use slog::warn;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,31 +17,11 @@
 /// More pages than the longest result has, and its bytes.
 const PAGES_MOST: f64 = 64.0;
 const RESULT_MOST: usize = 48_000;
-/// Work beyond so many longest hard limits is none that is meant.
-const WORK_MOST: f64 = 1000.0;
 /// So many connections to an engine at most: all that is open on one is lost with it.
 const LINKS_MOST: usize = 16;
 /// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
 const IDLE_SHARE: f64 = 0.75;
 
-pub enum Order {
-    Forward(Forward),
-    Withdraw(Id),
-    Priority(Id, u8),
-    Report,
-    Up(u64),
-    Came(u64, Buffer),
-    Down(u64, Outcome),
-}
-
-pub struct Forward {
-    pub id: Id,
-    pub band: usize,
-    pub statement: Rc<Chain>,
-    pub priority: Option<u8>,
-    pub limit: Ms,
-}
-
 struct Flight {
     of: Forward,
     link: u64,
@@ -70,28 +47,6 @@
     _task: Task<()>,
 }
 
-pub struct Shared {
-    pub clock: Clock,
-    pub pool: Rc<Pool>,
-    pub bands: Vec<String>,
-    /// The bands' expected times.
-    pub expected: Vec<Ms>,
-    pub carriage: Carriage,
-    /// Connections to all engines, and how many engines there are.
-    pub links_most: usize,
-    pub listed: Cell<usize>,
-    pub log: Logger,
-    pub module: Sender<Event>,
-    pub executor: Rc<LocalExecutor<'static>>,
-}
-
-impl Shared {
-    /// More work than any client or engine means to tell.
-    pub fn work_most(&self) -> Ms {
-        WORK_MOST * self.carriage.longest
-    }
-}
-
 pub struct Engine {
     pub index: usize,
     pub address: SocketAddr,
@@ -231,7 +186,7 @@
         let left = (f.of.limit - self.shared.clock.now()).max(1.0);
         let (mut line, statement) = (Vec::new(), f.of.statement.clone());
         let band = &self.shared.bands[f.of.band];
-        lines::forward(&mut line, text(id), band, left as u64, f.of.priority, statement.len());
+        lines::forward(&mut line, text(id), band, left as u64, f.of.priority, statement.size());
         self.say(f.link, line, Some(statement));
     }
 
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,13 +1,13 @@
 //! One connection to an engine: two tasks, one for each way, that end with it. The engine's actor owns both.
 
-use crate::engine::Order;
-use crate::pool::{Chain, Pool};
-use crate::wait::within;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ironstair::{Ms, Outcome};
+use ironstair_mail::pool::{Chain, Pool, SIZE};
+use ironstair_mail::wait::within;
+use ironstair_mail::Order;
 use ironstair_protocol::lines;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -68,7 +68,7 @@
                 s.0.iter().for_each(|b| out.extend(b.bytes()));
                 out.extend(lines::END);
             }
-            next = if out.len() < crate::pool::SIZE { parcels.try_recv().ok() } else { None };
+            next = if out.len() < SIZE { parcels.try_recv().ok() } else { None };
         }
         stream.write_all(&out).await?;
     }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,12 +1,12 @@
 //! The list's actor: asks the name service and tells the module's actor of changes.
 
-use crate::clock::span;
-use crate::module::Event;
-use crate::told::{Index, Place};
+use crate::told::Index;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use ironstair::Standing;
+use ironstair_mail::clock::span;
+use ironstair_mail::{Event, Place};
 use ironstair_protocol::dns;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,17 +1,14 @@
 //! `ironstair`: one gateway on sockets. It translates, times and carries; every decision is the module's.
 
 mod client;
-mod clock;
 mod engine;
 mod link;
 mod list;
 mod log;
 mod module;
 mod places;
-mod pool;
 mod start;
 mod told;
-mod wait;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -1,15 +1,14 @@
 //! The module's actor: the only caller of the decisions. It carries out what they ask for, owns their timer
 //! and what is known of each submission, and never waits on a peer.
 
-use crate::client::Reply;
-use crate::engine::{Engine, Forward, Order, Shared};
-use crate::pool::Chain;
-use crate::told::Place;
-use crate::wait::next;
+use crate::engine::Engine;
 use async_channel::{Receiver, Sender};
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
 use ironstair::{Listed, Ms, Outcome, Outlet, Submission};
+use ironstair_mail::pool::Chain;
+use ironstair_mail::wait::next;
+use ironstair_mail::{Event, Forward, Id, Order, Place, Reply, Shared, Taken};
 use slog::info;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -17,35 +16,6 @@
 /// What may lie in an engine's mailbox: beyond that nothing is sent there, and the module is told so.
 const MAILBOX: usize = 1024;
 
-/// A submission's id as its client wrote it.
-pub type Id = [u8; 16];
-
-pub enum Event {
-    Taken(Box<Taken>),
-    Left(Id, Sender<Reply>),
-    Ended {
-        id: Id,
-        what: Outcome,
-        rows: Option<Chain>,
-    },
-    Report {
-        engine: usize,
-        values: Vec<f64>,
-    },
-    Roster(BTreeMap<String, Place>),
-    /// By then the process is to have ended.
-    Ending(Ms),
-}
-
-pub struct Taken {
-    pub id: Id,
-    pub call: u64,
-    pub of: Submission,
-    pub at: Ms,
-    pub statement: Chain,
-    pub client: Sender<Reply>,
-}
-
 struct Held {
     call: u64,
     band: usize,
@@ -288,9 +258,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::clock::Clock;
-    use crate::pool::Pool;
     use async_executor::LocalExecutor;
+    use ironstair_mail::clock::Clock;
+    use ironstair_mail::pool::Pool;
     use ironstair_mandate::Carriage;
     use slog::{o, Discard, Logger};
     use std::cell::Cell;
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -1,9 +1,9 @@
 //! The places for client connections: who holds one, and who leaves when they run short or at the end.
 
-use crate::clock::Clock;
-use crate::wait::until;
 use event_listener::Event as Bell;
 use ironstair::Ms;
+use ironstair_mail::clock::Clock;
+use ironstair_mail::wait::until;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,11 +1,8 @@
 //! Start and drain.
 
-use crate::clock::{span, Clock};
-use crate::engine::Shared;
 use crate::list::{List, Moved};
-use crate::module::{decide, Event};
+use crate::module::decide;
 use crate::places::Places;
-use crate::pool::Pool;
 use crate::told::{self, Told};
 use crate::{client, log};
 use async_channel::Sender;
@@ -15,6 +12,9 @@
 use futures_lite::future::{or, yield_now};
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
+use ironstair_mail::clock::{span, Clock};
+use ironstair_mail::pool::Pool;
+use ironstair_mail::{Event, Shared};
 use slog::{info, warn};
 use std::cell::Cell;
 use std::net::TcpListener;
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told at start, decoded once.
 
-use ironstair::{Mandate, Ms, Standing};
+use ironstair::{Mandate, Standing};
+use ironstair_mail::Place;
 use ironstair_mandate::{bands, carriage, kinds, mandate, word, zones, Carriage};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -11,17 +12,6 @@
 const MEMORY_MB: f64 = 192.0;
 const DESCRIPTORS: f64 = 1024.0;
 
-/// One engine of the roster.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Place {
-    pub address: SocketAddr,
-    pub zone: u16,
-    pub kind: u16,
-    pub cell: u16,
-    pub standing: Standing,
-    pub since: Ms,
-}
-
 /// The names under which zones and kinds of machine come; the decisions know them by index.
 pub struct Index {
     zones: Vec<String>,
--- /dev/null
+++ b/crates/mail/src/lib.rs
@@ -0,0 +1,116 @@
+//! What crosses between the actors, and what all of them share. A front or a manager needs nothing else of
+//! the gateway: it sends [`Event`]s to the module's mailbox and is answered by [`Reply`].
+
+pub mod clock;
+pub mod pool;
+pub mod wait;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use clock::Clock;
+use ironstair::{Ms, Outcome, Standing, Submission};
+use ironstair_mandate::Carriage;
+use pool::{Buffer, Chain, Pool};
+use slog::Logger;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A submission's id as its client wrote it.
+pub type Id = [u8; 16];
+
+/// To the module's actor.
+pub enum Event {
+    Taken(Box<Taken>),
+    Left(Id, Sender<Reply>),
+    Ended {
+        id: Id,
+        what: Outcome,
+        rows: Option<Chain>,
+    },
+    Report {
+        engine: usize,
+        values: Vec<f64>,
+    },
+    Roster(BTreeMap<String, Place>),
+    /// By then the process is to have ended.
+    Ending(Ms),
+}
+
+/// A submission from a front.
+pub struct Taken {
+    pub id: Id,
+    pub call: u64,
+    pub of: Submission,
+    pub at: Ms,
+    pub statement: Chain,
+    pub client: Sender<Reply>,
+}
+
+/// To a front, about one of its calls: one final answer for each.
+pub enum Reply {
+    Settled(u64, Chain),
+    TurnedBack(u64, Ms),
+    Scrapped(u64),
+    /// Taken under an id that is in use.
+    Unusable(u64),
+    /// What is answered without the module: a whole message.
+    Plain(Vec<u8>),
+}
+
+/// To an engine's actor, from the module's and from the engine's own connections.
+pub enum Order {
+    Forward(Forward),
+    Withdraw(Id),
+    Priority(Id, u8),
+    Report,
+    Up(u64),
+    Came(u64, Buffer),
+    Down(u64, Outcome),
+}
+
+pub struct Forward {
+    pub id: Id,
+    pub band: usize,
+    pub statement: Rc<Chain>,
+    pub priority: Option<u8>,
+    pub limit: Ms,
+}
+
+/// One engine of the roster.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub zone: u16,
+    pub kind: u16,
+    pub cell: u16,
+    pub standing: Standing,
+    pub since: Ms,
+}
+
+/// Work beyond so many longest hard limits is none that is meant.
+const WORK_MOST: f64 = 1000.0;
+
+/// What all actors share.
+pub struct Shared {
+    pub clock: Clock,
+    pub pool: Rc<Pool>,
+    pub bands: Vec<String>,
+    /// The bands' expected times.
+    pub expected: Vec<Ms>,
+    pub carriage: Carriage,
+    /// Connections to all engines, and how many engines there are.
+    pub links_most: usize,
+    pub listed: Cell<usize>,
+    pub log: Logger,
+    pub module: Sender<Event>,
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Shared {
+    /// More work than any client or engine means to tell.
+    pub fn work_most(&self) -> Ms {
+        WORK_MOST * self.carriage.longest
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/mail/src/pool.rs
@@ -101,7 +101,7 @@
 pub struct Chain(pub Vec<Buffer>);
 
 impl Chain {
-    pub fn len(&self) -> usize {
+    pub fn size(&self) -> usize {
         self.0.iter().map(|b| b.bytes().len()).sum()
     }
 
@@ -137,6 +137,6 @@
         b.consume(SIZE - 1);
         assert_eq!((b.append(&[2; 9]), b.bytes()), (9, &[1, 2, 2, 2, 2, 2, 2, 2, 2, 2][..]));
         let chain = Chain(vec![b, Pool::of(SIZE).lend().unwrap()]);
-        assert_eq!((chain.len(), chain.joined().len()), (10, 10));
+        assert_eq!((chain.size(), chain.joined().len()), (10, 10));
     }
 }
