The module can be amended: other terms between two events, stricter of old and new

Need: settings that change in service. amend() takes a whole new mandate, with further bands behind the old ones and bands out of service. What was taken keeps its hard limit, expected time, order and forwards, and of the old and the new terms the stricter hold for it (window, zones, kinds, most forwards); ration, cold share and bound go by the new figures at once, over what was counted before.

--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -72,6 +72,7 @@
         in_order: flag(c, "by_arrival")?,
         zones: numbers(c, "dcs_allowed")?,
         kinds: numbers(c, "machine_types_allowed")?,
+        closed: false,
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,10 +26,11 @@
     fn forget(&mut self, submission: usize);
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
     Repeatable,
     Tagged(Within),
+    #[default]
     OnceOnly,
 }
 
@@ -41,7 +42,7 @@
 }
 
 /// What a band's submissions share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Terms {
     pub expected: Ms,
     pub expected_stretch: f64,
@@ -52,6 +53,8 @@
     pub in_order: bool,
     pub zones: Option<Vec<u16>>,
     pub kinds: Option<Vec<u16>>,
+    /// Taken out of service: new ones are turned back, those taken before go on.
+    pub closed: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -61,14 +64,14 @@
 }
 
 /// Further forwards: a few, and a share of the submissions taken in the span.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ration {
     pub spare: f64,
     pub share: f64,
     pub span: Ms,
 }
 
-/// What a gateway is told at start and holds to for its life.
+/// What a gateway is told at start and holds to until it is amended.
 #[derive(Clone, Debug, Default)]
 pub struct Mandate {
     pub gateways: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,11 +1,14 @@
 //! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`] from
 //! what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
-//! `report`, `progress`, `left` or `due`, and by `ending` when it will end. Each call notes what is new and
+//! `report`, `progress`, `left` or `due`, by `amend` when its terms change, by `ending` when it will end. Each call notes what is new and
 //! goes through `RULES` in order, from the top again after one that fired, until none does. Actions leave
 //! through [`Outlet`] at once. lib.rs has that and the types that cross; door.rs makes the indices used here.
 
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+mod view;
 
 /// Threads a core that all gateways may keep busy on an engine under pressure: not all are busy at once.
 const FACTOR: f64 = 2.5;
@@ -36,6 +39,8 @@
 const AT_ONCE: f64 = 10.0;
 /// Wide queries enter by lot from this reported share of an engine up to all of it, where none does.
 const EASY: f64 = 0.7;
+/// The weight of a guess that gives way to the first thing learnt.
+const NEARLY_NONE: f64 = 1e-6;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.9;
 /// A guess of memory falls short now and then; spilling costs more than a wider grant.
@@ -140,6 +145,8 @@
     aim: Ms,
     limit: Ms,
     forwards: u8,
+    under: Arc<Terms>, // as they were when it was taken, and the most forwards
+    most: u8,
     out: Option<Forward>,
     may_have_run: Vec<(usize, Ms)>,
     tried: Vec<usize>,
@@ -155,6 +162,7 @@
 
 #[derive(Default)]
 struct Band {
+    terms: Arc<Terms>,
     line: Vec<usize>,
     charged: f64,
     threads: f64,
@@ -199,14 +207,38 @@
 ];
 
 impl Gateway {
-    pub fn new(mut m: Mandate, seed: u64) -> Self {
-        let bands = m.bands.iter().map(|_| Band { best: f64::INFINITY, ..Default::default() }).collect();
+    pub fn new(m: Mandate, seed: u64) -> Self {
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
+        let mut new = Gateway { chance, subscribe_at, ..Default::default() };
+        new.adopt(m);
+        new
+    }
+
+    fn adopt(&mut self, mut m: Mandate) {
+        self.bands.resize_with(m.bands.len(), || Band { best: f64::INFINITY, ..Default::default() });
+        self.bands.iter_mut().zip(&m.bands).for_each(|(b, terms)| b.terms = Arc::new(terms.clone()));
         m.may_probe &= m.reports.iter().any(|r| *r != Load::Other);
         let widest = m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
         let crowded = m.kinds.iter().all(|k| k.cores * FACTOR / m.gateways < widest);
-        let (asks, blind) = (crowded && m.may_probe, crowded && !m.may_probe);
-        Gateway { m, chance, bands, subscribe_at, asks, blind, ..Default::default() }
+        (self.asks, self.blind) = (crowded && m.may_probe, crowded && !m.may_probe);
+        self.m = m;
+    }
+
+    /// Other terms for the same bands, and maybe further bands behind them. What was taken before keeps its hard
+    /// limit, its expected time and its order, and of the old terms and the new the stricter. What was counted
+    /// stays counted.
+    pub fn amend(&mut self, now: Ms, m: Mandate, out: &mut dyn Outlet) {
+        let before = self.bands.len();
+        self.adopt(m);
+        for e in &mut self.engines {
+            e.pace.resize(self.bands.len(), Fade::default());
+            e.fine.resize(self.bands.len(), 0.0);
+        }
+        // Against a band of which nothing came yet: while one's work is unknown, weights leave out all work.
+        for (band, terms) in self.bands.iter_mut().zip(&self.m.bands).skip(before) {
+            band.work.add(now, LONG_HALF, terms.expected * terms.threads * NEARLY_NONE, NEARLY_NONE);
+        }
+        self.due(now, out);
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
@@ -261,11 +293,15 @@
         }
         self.subs[sub] =
             Taken { of, work, open: true, aim, limit, lot: self.chance.lot(), ..Default::default() };
+        (self.subs[sub].under, self.subs[sub].most) = (band.terms.clone(), self.m.most_forwards);
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(AT_ONCE);
+        if self.m.bands[of.band].closed {
+            self.end(sub, self.m.come_back_most, out);
+        }
         self.due(now, out);
     }
 
@@ -381,7 +417,7 @@
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.filter(|f| !f.overdue) else { continue };
             let elapsed = now - f.sent;
-            if elapsed > within(terms, s.work) {
+            if elapsed > within(&s.under, s.work) {
                 let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
                 let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.work);
                 let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
@@ -513,7 +549,7 @@
 
     fn may_forward_again(&self, s: &Taken) -> bool {
         let terms = &self.m.bands[s.of.band];
-        s.forwards < self.m.most_forwards
+        s.forwards < self.m.most_forwards.min(s.most)
             && match terms.repeat {
                 Repeat::Repeatable => true,
                 Repeat::Tagged(_) => self.in_window(s),
@@ -522,7 +558,8 @@
     }
 
     fn in_window(&self, s: &Taken) -> bool {
-        s.may_have_run.iter().all(|r| self.now <= r.1 + self.m.bands[s.of.band].window)
+        let window = s.under.window.min(self.m.bands[s.of.band].window);
+        s.may_have_run.iter().all(|r| self.now <= r.1 + window)
     }
 
     /// Whether the budget has one more further forward, counted exactly over the window.
@@ -611,19 +648,24 @@
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
-    // Against pushing over a cold engine: this gateway's even share of what all may send in any span. Among
-    // hundreds, less than one submission: by lot, at home only, so that six times the usual traffic is borne.
-    fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
-        let (m, age, usual) = (&self.m, self.now - e.listed.since, self.usual_work(s.of.band));
+    /// Of a cold engine: the multiple of its capacity that all may send, this gateway's share, and what of it is used.
+    fn cold(&self, e: &Engine) -> Option<(f64, Ms, Ms)> {
+        let (m, age) = (&self.m, self.now - e.listed.since);
         if e.listed.since <= 0.0 || age >= m.warm_after {
-            return true;
+            return None;
         }
         // Half of an even ramp is counted on: how an engine warms up is not told.
         let warm = m.cold_from + (1.0 - m.cold_from) * (age / m.warm_after).clamp(0.0, 1.0) / 2.0;
         let all = COLD_SHARE * m.fall_multiple * warm;
-        let share = all * 0.85 * e.cores * m.fall_span / m.gateways;
         let recent = e.cold_sent.iter().filter(|s| s.0 >= self.now - m.fall_span);
-        let fits = recent.map(|s| s.1).sum::<f64>() + usual <= share;
+        Some((all, all * 0.85 * e.cores * m.fall_span / m.gateways, recent.map(|s| s.1).sum()))
+    }
+
+    // Against pushing over a cold engine: this gateway's even share of what all may send in any span. Among
+    // hundreds, less than one submission: by lot, at home only, so that six times the usual traffic is borne.
+    fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
+        let Some((all, share, recent)) = self.cold(e) else { return true };
+        let fits = recent + self.usual_work(s.of.band) <= share;
         fits || home && (self.asks || self.blind) && s.chance(e.listed.id) < all / 6.0
     }
 
@@ -634,8 +676,11 @@
             Repeat::Tagged(Within::Cell) => other.cell == line.cell,
             _ => true,
         };
-        terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
-            && terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
+        let fits = |t: &Terms| {
+            t.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
+                && t.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
+        };
+        (fits(terms) && fits(&s.under))
             && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
             && line.standing == Standing::Ready
     }
--- /dev/null
+++ b/src/logic/view.rs
@@ -0,0 +1,65 @@
+//! What the decisions know, for people and programs that look on: nothing here decides.
+
+use super::Gateway;
+use crate::{Ms, Standing};
+
+/// One engine as this gateway sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineView {
+    pub standing: Standing,
+    pub cores: f64,
+    /// Threads of this gateway's own running forwards there.
+    pub threads: f64,
+    /// The largest share of it in use that it told last, and when; or when it was asked.
+    pub report: Option<(Ms, f64)>,
+    /// Times the best pace at which it answers now; 1 when nothing is known.
+    pub stretch: f64,
+    /// Of how many of its last outcomes were failures.
+    pub failures: u32,
+    pub seen: u32,
+    /// When set aside: when the next of the trickle may go.
+    pub aside: Option<Ms>,
+    pub full_until: Ms,
+    /// While it is cold: work, in ms on a thread, that this gateway may still send within the span.
+    pub cold_left: Option<Ms>,
+}
+
+/// One band.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BandView {
+    pub waiting: usize,
+    pub threads: f64,
+    pub charged: f64,
+    pub weight: f64,
+    /// The work of a usual submission, in ms on a thread.
+    pub usual: Ms,
+}
+
+impl Gateway {
+    pub fn engine_view(&self, engine: usize) -> Option<EngineView> {
+        let e = self.engines.get(engine)?;
+        Some(EngineView {
+            standing: e.listed.standing,
+            cores: e.cores,
+            threads: e.threads,
+            report: e.report,
+            stretch: if e.pace.is_empty() { 1.0 } else { self.stretch(e) },
+            failures: e.failures(),
+            seen: e.seen,
+            aside: e.aside.map(|a| a.0),
+            full_until: e.full_until,
+            cold_left: self.cold(e).map(|(_, share, used)| (share - used).max(0.0)),
+        })
+    }
+
+    pub fn band_view(&self, b: usize) -> Option<BandView> {
+        let band = self.bands.get(b)?;
+        Some(BandView {
+            waiting: band.line.len(),
+            threads: band.threads,
+            charged: self.charge(b),
+            weight: self.weight(b),
+            usual: self.usual_work(b),
+        })
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -68,6 +68,7 @@
         in_order: false,
         zones: None,
         kinds: None,
+        closed: false,
     }
 }
 
@@ -132,6 +133,9 @@
 }
 
 pub struct Held {
+    /// The terms under which it was taken, and the most forwards.
+    pub under: Terms,
+    pub most: u8,
     pub of: Submission,
     pub taken: Ms,
     pub over: bool,
@@ -161,7 +165,8 @@
 
     pub fn took(&mut self, now: Ms, slot: usize, of: Submission) {
         self.at.insert(slot, self.held.len());
-        self.held.push(Held { of, taken: now, over: false, tries: Vec::new() });
+        let (under, most) = (self.m.bands[of.band].clone(), self.m.most_forwards);
+        self.held.push(Held { under, most, of, taken: now, over: false, tries: Vec::new() });
     }
 
     pub fn ended(&mut self, now: Ms, slot: usize, what: Outcome) {
@@ -191,7 +196,9 @@
 
     fn forward(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
         let (h, line) = (&self.held[i], self.roster[&engine]);
-        let terms = &self.m.bands[h.of.band];
+        let (terms, under) = (&self.m.bands[h.of.band], &h.under);
+        breaks!(under.closed, "a band out of service is forwarded");
+        breaks!(h.tries.len() >= h.most.min(self.m.most_forwards) as usize, "7: more forwards than allowed");
         breaks!(h.over || now > h.taken + h.of.left, "1: sent after the end");
         breaks!(h.tries.iter().any(|t| t.end.is_none()), "2: two forwards out");
         for ran in h.tries.iter().filter(|t| t.may_have_run()) {
@@ -203,7 +210,10 @@
                 Repeat::Tagged(Within::Zone) => other.zone == line.zone,
                 Repeat::Tagged(Within::Cell) => other.cell == line.cell,
             };
-            breaks!(!same || now > ran.sent + terms.window, "2: tagged outside its group or window");
+            breaks!(
+                !same || now > ran.sent + terms.window.min(under.window),
+                "2: tagged outside its group or window"
+            );
         }
         breaks!(self.off_since.get(&engine).is_some_and(|t| now > *t), "3: to an engine that is off");
         let tries = || self.held.iter().flat_map(|h| h.tries.iter().map(move |t| (h, t)));
@@ -229,8 +239,11 @@
                 breaks!(!o.over || o.tries.iter().any(doubt), "5: out of order");
             }
         }
-        let zone = terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone));
-        breaks!(!zone || terms.kinds.as_ref().is_some_and(|k| !k.contains(&line.kind)), "6: out of place");
+        for terms in [terms, under] {
+            let zone = terms.zones.as_ref().is_none_or(|z| z.contains(&line.zone));
+            let kind = terms.kinds.as_ref().is_none_or(|k| k.contains(&line.kind));
+            breaks!(!zone || !kind, "6: out of place");
+        }
         if let (Some(r), false) = (self.m.ration, h.tries.is_empty()) {
             let counts = |t: &Try| t.end.is_none_or(|e| e.1 != Outcome::Unsent) && t.sent >= now - r.span;
             let further = self.held.iter().flat_map(|h| h.tries.iter().skip(1)).filter(|t| counts(t)).count();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -273,3 +273,94 @@
     g.due(2995.0, &mut sheet);
     assert!(sheet.0.contains(&Act::TurnBack(0, 0.0)), "{:?}", sheet.0);
 }
+
+#[test]
+fn a_tighter_figure_of_a_rule_binds_at_once_and_a_looser_one_sets_free_nothing_counted_before() {
+    let mut m = two_bands();
+    m.ration = Some(Ration { spare: 2.0, share: 0.0, span: 2000.0 });
+    m.most_forwards = 9;
+    let mut g = start(m.clone(), 4);
+    let mut sheet = Sheet::default();
+    let mut fails = |g: &mut Gateway, now: Ms| {
+        let before = sheet.forwards().len();
+        g.outcome(now, 0, Outcome::Error, false, &mut sheet);
+        sheet.forwards().len() - before
+    };
+    send(&mut g, 1.0, 0, ask(0, 100.0));
+    assert_eq!(fails(&mut g, 2.0), 1);
+    m.ration = Some(Ration { spare: 1.0, share: 0.0, span: 2000.0 });
+    g.amend(3.0, m.clone(), &mut Sheet::default());
+    assert_eq!(fails(&mut g, 4.0), 0, "one further forward is out of the span's one");
+    m.ration = Some(Ration { spare: 2.0, share: 0.0, span: 2000.0 });
+    let mut sheet = Sheet::default();
+    g.amend(5.0, m, &mut sheet);
+    assert_eq!(sheet.forwards().len(), 1, "of the two the first one still counts");
+    g.outcome(6.0, 0, Outcome::Error, false, &mut sheet);
+    assert_eq!(sheet.forwards().len(), 1);
+}
+
+#[test]
+fn a_band_out_of_service_turns_back_what_is_new_and_keeps_what_it_has() {
+    let mut m = two_bands();
+    let mut g = start(m.clone(), 1);
+    let now = press(&mut g, 0..8);
+    let sent: usize = (0..12).map(|i| send(&mut g, now, i, ask(0, 100.0)).len()).sum();
+    assert_eq!(sent, 10, "two wait");
+    m.bands[0].closed = true;
+    let mut sheet = Sheet::default();
+    g.amend(now, m.clone(), &mut sheet);
+    g.take(now, 12, ask(0, 100.0), &mut sheet);
+    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count();
+    assert_eq!((backs(&sheet), sheet.0.contains(&Act::TurnBack(12, 0.0))), (1, true));
+    g.outcome(now + 1.0, 0, Outcome::Settled(None), true, &mut sheet);
+    assert_eq!(sheet.forwards().len(), 1, "what waits goes on");
+    m.bands[0].closed = false;
+    g.amend(now + 2.0, m, &mut sheet);
+    g.take(now + 2.0, 12, ask(0, 100.0), &mut sheet);
+    assert_eq!(backs(&sheet), 1, "put back it takes again");
+}
+
+#[test]
+fn a_band_of_which_nothing_came_yet_leaves_the_weights_of_the_others_as_they_are() {
+    // Against weights that leave out all work while that of one band is unknown.
+    let mut m = two_bands();
+    let mut g = start(m.clone(), 2);
+    send(&mut g, 1.0, 0, ask(0, 100.0));
+    send(&mut g, 1.0, 1, ask(1, 4000.0));
+    let weights = |g: &Gateway| (0..2).map(|b| g.band_view(b).unwrap().weight).collect::<Vec<_>>();
+    let before = weights(&g);
+    m.bands.push(band(1.0, 1.0, Repeat::Repeatable));
+    g.amend(2.0, m, &mut Sheet::default());
+    assert_eq!((weights(&g), before[0]), (before, 0.01));
+    send(&mut g, 3.0, 2, ask(2, 300.0));
+    assert!((g.band_view(2).unwrap().usual - 300.0).abs() < 0.1, "its first word counts for all");
+}
+
+#[test]
+fn more_gateways_narrow_the_share_of_a_cold_engine_at_once() {
+    let mut m = two_bands();
+    let mut g = Gateway::new(m.clone(), 1);
+    g.roster(1000.0, true, &[Listed { since: 1000.0, ..line(0) }], &mut Sheet::default());
+    let sent: usize = (0..4).map(|i| send(&mut g, 1001.0, i, ask(0, 100.0)).len()).sum();
+    let left = g.engine_view(0).unwrap().cold_left.unwrap();
+    assert_eq!((sent, left > 1000.0), (4, true));
+    m.gateways = 20.0;
+    g.amend(1002.0, m, &mut Sheet::default());
+    assert_eq!(g.engine_view(0).unwrap().cold_left, Some(0.0));
+    assert_eq!(send(&mut g, 1003.0, 4, ask(0, 100.0)).len(), 0);
+}
+
+#[test]
+fn of_the_window_in_which_a_tagged_one_may_run_again_the_shorter_holds() {
+    for (then, now, again) in [(1000.0, 1000.0, 1), (1000.0, 100.0, 0), (100.0, 1000.0, 0)] {
+        let mut m = mandate(vec![band(1.0, 1.0, Repeat::Tagged(Within::All))]);
+        m.bands[0].window = then;
+        let mut g = start(m.clone(), 2);
+        send(&mut g, 1.0, 0, ask(0, 100.0));
+        m.bands[0].window = now;
+        let mut sheet = Sheet::default();
+        g.amend(2.0, m, &mut sheet);
+        g.outcome(500.0, 0, Outcome::Error, false, &mut sheet);
+        assert_eq!(sheet.forwards().len(), again, "{then} {now}");
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,8 +8,9 @@
 use ironstair::*;
 use quickcheck::{Gen, QuickCheck, TestResult};
 
+/// Work as told by the client: the referee counts cold shares by that, the module by what it has learnt.
 const OUTCOMES: [Outcome; 8] =
-    [Settled(Some(60.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
+    [Settled(Some(100.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
 
 struct Play {
     now: Ms,
@@ -37,6 +38,34 @@
         self.check(sheet)
     }
 
+    /// Other terms between two events: tighter or looser, a band out of service and back, a further band.
+    fn amend(&mut self, a: u8, b: u8) -> Result<(), String> {
+        let (mut sheet, mut m) = (Sheet::default(), self.referee.m.clone());
+        let n = m.bands.len();
+        let terms = &mut m.bands[a as usize % n];
+        match b % 8 {
+            0 => terms.closed = !terms.closed,
+            1 => terms.window = [100.0, 1000.0, 5000.0][a as usize % 3],
+            2 => terms.zones = [None, Some(vec![0]), Some(vec![1])][a as usize % 3].clone(),
+            3 => terms.kinds = [None, Some(vec![0]), Some(vec![1])][a as usize / 8 % 3].clone(),
+            4 => (terms.payoff, terms.expected) = (1.0 + a as f64, 100.0 + 10.0 * a as f64),
+            5 => {
+                // A crowd stays one: the referee adds up cold shares of few gateways only, and knows no ramp.
+                let others = if m.gateways < 100.0 { (a % 2) as f64 } else { 199.0 + a as f64 };
+                (m.most_forwards, m.gateways) = (1 + a % 5, 1.0 + others);
+            }
+            6 => {
+                m.ration =
+                    m.ration.map(|r| Ration { spare: (a % 4) as f64, share: 0.05 * (a % 3) as f64, ..r })
+            }
+            _ if n < 8 => m.bands.push(band(1.0 + a as f64, 1.0, Repeat::OnceOnly)),
+            _ => m.cold_from = 0.3 + (a % 7) as f64 / 10.0,
+        }
+        self.referee.m = m.clone();
+        self.gateway.amend(self.now, m, &mut sheet);
+        self.check(sheet)
+    }
+
     fn check(&mut self, sheet: Sheet) -> Result<(), String> {
         for act in &sheet.0 {
             self.referee.sees(self.now, act)?;
@@ -51,7 +80,8 @@
 
     fn step(&mut self, (what, a, b): (u8, u8, u8)) -> Result<(), String> {
         let mut sheet = Sheet::default();
-        match what % 8 {
+        match what % 9 {
+            8 => return self.amend(a, b),
             0..=2 => {
                 let slot = self.free.pop().unwrap_or_else(|| {
                     self.next += 1;
