--- /dev/null
+++ b/crates/change/src/document.rs
@@ -0,0 +1,260 @@
+//! The settings document: what of a gateway's mandate may be read and set. Its JSON is that of the YANG module
+//! (RFC 7951), so that neither has to be mapped to the other.
+
+use ironstair::{Mandate, Ms, Repeat, Within};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A decimal64 with so many fraction digits, as text in JSON.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Decimal<const DIGITS: u32>(f64);
+
+impl<const DIGITS: u32> Decimal<DIGITS> {
+    /// The nearest that has no more digits.
+    pub fn of(x: f64) -> Self {
+        let tens = 10f64.powi(DIGITS as i32);
+        Decimal((x * tens).round() / tens)
+    }
+    pub fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl<const DIGITS: u32> fmt::Display for Decimal<DIGITS> {
+    /// The canonical form of RFC 7950: no zeros behind but one.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let text = format!("{:.*}", DIGITS as usize, self.0);
+        let short = text.trim_end_matches('0');
+        f.write_str(short)?;
+        f.write_str(if short.ends_with('.') { "0" } else { "" })
+    }
+}
+
+impl<const DIGITS: u32> Serialize for Decimal<DIGITS> {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'de, const DIGITS: u32> Deserialize<'de> for Decimal<DIGITS> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let number = text.parse::<f64>().ok().filter(|x| x.is_finite());
+        number.map(Self::of).ok_or_else(|| D::Error::custom(format!("{text} is no decimal")))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Again {
+    Repeatable,
+    Tagged,
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Level {
+    Error,
+    Warning,
+    #[default]
+    Info,
+    Debug,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Band {
+    pub name: String,
+    pub expected: u32,
+    #[serde(default)]
+    pub expected_stretch: Decimal<3>,
+    pub hard_limit: u32,
+    pub payoff: Decimal<6>,
+    #[serde(default = "one")]
+    pub threads: u16,
+    pub repeat: Again,
+    #[serde(default)]
+    pub within: Group,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub window: Option<u32>,
+    #[serde(default)]
+    pub in_order: bool,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone: Vec<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub kind: Vec<String>,
+}
+
+fn one() -> u16 {
+    1
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Ration {
+    pub spare: u32,
+    pub share: Decimal<4>,
+    pub span: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Cold {
+    pub from: Decimal<4>,
+    pub warm_after: u32,
+    pub multiple: Decimal<3>,
+    pub span: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Log {
+    #[serde(default)]
+    pub level: Level,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Document {
+    pub band: Vec<Band>,
+    pub gateways: u32,
+    pub forwards_most: u8,
+    #[serde(default)]
+    pub advice: u32,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ration: Option<Ration>,
+    pub cold: Cold,
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// What a gateway is told at start and no change touches: the names of zones and kinds, by index.
+#[derive(Clone, Debug, Default)]
+pub struct Frame {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Frame {
+    pub(crate) fn index(names: &[String], name: &str) -> Option<u16> {
+        names.iter().position(|n| n.eq_ignore_ascii_case(name)).and_then(|i| u16::try_from(i).ok())
+    }
+}
+
+/// Why a document or a change of it can't be, and where.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    pub path: String,
+    pub why: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.why)
+    }
+}
+
+pub(crate) fn fault(path: impl Into<String>, why: impl Into<String>) -> Fault {
+    Fault { path: path.into(), why: why.into() }
+}
+
+pub(crate) fn band_path(name: &str, field: &str) -> String {
+    format!("/settings/band[name={name}]/{field}")
+}
+
+impl Document {
+    /// The document of what a gateway was told; figures with more digits than the tree has are rounded.
+    /// `limits` are the bands' hard limits, in ms.
+    pub fn told(m: &Mandate, names: &[String], limits: &[Ms], frame: &Frame) -> Document {
+        let whole = |x: Ms| x.round().clamp(0.0, u32::MAX as f64) as u32;
+        let named = |of: &Option<Vec<u16>>, names: &[String]| -> Vec<String> {
+            let of = of.iter().flatten();
+            of.map(|&i| names.get(i as usize).cloned().unwrap_or_else(|| format!("unknown-{i}"))).collect()
+        };
+        let band = m.bands.iter().zip(names).zip(limits).map(|((t, name), &limit)| Band {
+            name: name.clone(),
+            expected: whole(t.expected),
+            expected_stretch: Decimal::of(t.expected_stretch),
+            hard_limit: whole(limit),
+            payoff: Decimal::of(t.payoff),
+            threads: t.threads as u16,
+            repeat: match t.repeat {
+                Repeat::Repeatable => Again::Repeatable,
+                Repeat::Tagged(_) => Again::Tagged,
+                Repeat::OnceOnly => Again::OnceOnly,
+            },
+            within: match t.repeat {
+                Repeat::Tagged(Within::Zone) => Group::Zone,
+                Repeat::Tagged(Within::Cell) => Group::Cell,
+                _ => Group::All,
+            },
+            window: matches!(t.repeat, Repeat::Tagged(_)).then(|| whole(t.window)),
+            in_order: t.in_order,
+            zone: named(&t.zones, &frame.zones),
+            kind: named(&t.kinds, &frame.kinds),
+        });
+        Document {
+            band: band.collect(),
+            gateways: m.gateways as u32,
+            forwards_most: m.most_forwards,
+            advice: whole(m.come_back_most),
+            ration: m.ration.map(|r| Ration {
+                spare: r.spare.round() as u32,
+                share: Decimal::of(r.share),
+                span: whole(r.span),
+            }),
+            cold: Cold {
+                from: Decimal::of(m.cold_from),
+                warm_after: whole(m.warm_after),
+                multiple: Decimal::of(m.fall_multiple),
+                span: whole(m.fall_span),
+            },
+            log: Log::default(),
+        }
+    }
+
+    /// All that the types and ranges of the tree do not say: its `must` statements, and names that the gateway
+    /// was not told.
+    pub fn faults(&self, frame: &Frame) -> Vec<Fault> {
+        let mut found = Vec::new();
+        let mut check = |ok: bool, path: String, why: &str| {
+            if !ok {
+                found.push(fault(path, why));
+            }
+        };
+        check(!self.band.is_empty(), "/settings/band".into(), "there must be a band");
+        let mut names = BTreeSet::new();
+        for b in &self.band {
+            let at = |field: &str| band_path(&b.name, field);
+            check(names.insert(&b.name), at("name"), "the name is there twice");
+            check(
+                b.hard_limit >= b.expected,
+                at("hard-limit"),
+                "the hard limit is shorter than the expected time",
+            );
+            let tagged = b.repeat == Again::Tagged;
+            check(tagged || b.within == Group::All, at("within"), "within is for tagged bands");
+            check(tagged || b.window.is_none(), at("window"), "window is for tagged bands");
+            check(!tagged || b.window.is_some(), at("window"), "a tagged band needs its window");
+            for (field, names, known) in [("zone", &b.zone, &frame.zones), ("kind", &b.kind, &frame.kinds)] {
+                for name in names {
+                    let told = Frame::index(known, name).is_some();
+                    check(told, at(field), &format!("{name} is not among those told at start"));
+                }
+            }
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/change/src/lib.rs
@@ -0,0 +1,11 @@
+//! Changes of a gateway's settings, decided without input, output, clock or thread.
+//!
+//! [`document`] is the settings document, [`plan`] says what a change of it does and when, or why it can't be,
+//! [`revisions`] which document runs, and [`journal`] how revisions outlive the process.
+
+pub mod document;
+pub mod journal;
+pub mod plan;
+pub mod revisions;
+
+pub use document::{Band, Cold, Decimal, Document, Fault, Frame, Log, Ration};
--- /dev/null
+++ b/crates/change/src/plan.rs
@@ -0,0 +1,269 @@
+//! What a change of the settings does, and when. It is checked whole; then the mandate that it makes is taken
+//! over whole, between two events of the decision module, or none of it is.
+
+use crate::document::{band_path, fault, Again, Band, Document, Fault, Frame, Group};
+use ironstair::{Mandate, Ms, Ration, Repeat, Terms, Within};
+use std::collections::BTreeMap;
+
+/// Bands that may ever have been in a gateway's life: their indices are never used again, since submissions,
+/// charges and paces hold on to them.
+pub const ROLL_MOST: usize = 256;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum When {
+    AtOnce,
+    /// Only for submissions taken from then on.
+    NewOnly,
+    /// New ones are turned back at once; it is over when those open are.
+    OpenFirst,
+}
+
+/// One field that changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    pub path: String,
+    pub from: Option<String>,
+    pub to: Option<String>,
+    pub when: When,
+}
+
+/// What of a band is fixed for the gateway's life; its place is the band's index.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Slot {
+    pub name: String,
+    pub repeat: Again,
+    pub within: Group,
+    pub in_order: bool,
+    pub threads: u16,
+}
+
+impl Slot {
+    fn of(b: &Band) -> Slot {
+        Slot {
+            name: b.name.clone(),
+            repeat: b.repeat,
+            within: b.within,
+            in_order: b.in_order,
+            threads: b.threads,
+        }
+    }
+}
+
+/// Every band that ever was, in the order of their indices.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Roll(pub Vec<Slot>);
+
+/// A change that may be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub steps: Vec<Step>,
+    pub roll: Roll,
+}
+
+type Shown = fn(&Band) -> String;
+
+/// The fields of a band that may change, and when each takes effect. What tightens a rule binds at once even for
+/// those taken before: the decision module holds each to the stricter of its own terms and the new ones.
+const BAND: [(&str, When, Shown); 7] = [
+    ("expected", When::NewOnly, |b| b.expected.to_string()),
+    ("expected-stretch", When::NewOnly, |b| b.expected_stretch.to_string()),
+    ("hard-limit", When::NewOnly, |b| b.hard_limit.to_string()),
+    ("payoff", When::AtOnce, |b| b.payoff.to_string()),
+    ("window", When::AtOnce, |b| b.window.map_or(String::new(), |w| w.to_string())),
+    ("zone", When::AtOnce, |b| b.zone.join(" ")),
+    ("kind", When::AtOnce, |b| b.kind.join(" ")),
+];
+
+type Kept = fn(&Slot) -> String;
+
+/// Those that may not: what was promised of a submission's repeats, order and size rests on them.
+const FIXED: [(&str, Kept); 4] = [
+    ("repeat", |s| format!("{:?}", s.repeat)),
+    ("within", |s| format!("{:?}", s.within)),
+    ("in-order", |s| s.in_order.to_string()),
+    ("threads", |s| s.threads.to_string()),
+];
+
+type Told = fn(&Document) -> Option<String>;
+
+/// The fields beside the bands; all of them at once but for the most forwards, of which fewer bind at once.
+const REST: [(&str, When, Told); 10] = [
+    ("gateways", When::AtOnce, |d| Some(d.gateways.to_string())),
+    ("forwards-most", When::AtOnce, |d| Some(d.forwards_most.to_string())),
+    ("advice", When::AtOnce, |d| Some(d.advice.to_string())),
+    ("ration/spare", When::AtOnce, |d| d.ration.map(|r| r.spare.to_string())),
+    ("ration/share", When::AtOnce, |d| d.ration.map(|r| r.share.to_string())),
+    ("ration/span", When::AtOnce, |d| d.ration.map(|r| r.span.to_string())),
+    ("cold/from", When::AtOnce, |d| Some(d.cold.from.to_string())),
+    ("cold/warm-after", When::AtOnce, |d| Some(d.cold.warm_after.to_string())),
+    ("cold/multiple", When::AtOnce, |d| Some(d.cold.multiple.to_string())),
+    ("cold/span", When::AtOnce, |d| Some(d.cold.span.to_string())),
+];
+
+impl Roll {
+    pub fn of(document: &Document) -> Roll {
+        Roll(document.band.iter().map(Slot::of).collect())
+    }
+
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.0.iter().position(|s| s.name == name)
+    }
+}
+
+/// The plan from what runs to what is wanted, or all that stands against it.
+pub fn plan(from: &Document, to: &Document, roll: &Roll, frame: &Frame) -> Result<Plan, Vec<Fault>> {
+    let mut faults = to.faults(frame);
+    let (mut steps, mut roll) = (Vec::new(), roll.clone());
+    let was: BTreeMap<&str, &Band> = from.band.iter().map(|b| (b.name.as_str(), b)).collect();
+    let step = |path: String, from: Option<String>, to: Option<String>, when: When| {
+        (from != to).then_some(Step { path, from, to, when })
+    };
+    for band in &to.band {
+        let name = band.name.as_str();
+        match roll.find(name) {
+            Some(i) => {
+                let (old, new) = (&roll.0[i], Slot::of(band));
+                for (field, show) in FIXED {
+                    if show(old) != show(&new) {
+                        let why = "cannot change in service: take the band out and use another name";
+                        faults.push(fault(band_path(name, field), why));
+                    }
+                }
+            }
+            None if roll.0.len() >= ROLL_MOST => {
+                let why = format!("more than {ROLL_MOST} bands since the start: it takes a restart");
+                faults.push(fault(band_path(name, "name"), why));
+            }
+            None => roll.0.push(Slot::of(band)),
+        }
+        match was.get(name) {
+            Some(old) => {
+                for (field, when, show) in BAND {
+                    steps.extend(step(band_path(name, field), Some(show(old)), Some(show(band)), when));
+                }
+            }
+            None => {
+                let path = format!("/settings/band[name={name}]");
+                steps.extend(step(path, None, Some("in service".into()), When::AtOnce));
+            }
+        }
+    }
+    for name in was.keys().filter(|n| !to.band.iter().any(|b| b.name == **n)) {
+        let path = format!("/settings/band[name={name}]");
+        steps.extend(step(path, Some("in service".into()), None, When::OpenFirst));
+    }
+    for (field, when, show) in REST {
+        steps.extend(step(format!("/settings/{field}"), show(from), show(to), when));
+    }
+    let level = |d: &Document| Some(format!("{:?}", d.log.level).to_lowercase());
+    steps.extend(step("/settings/log/level".into(), level(from), level(to), When::AtOnce));
+    if faults.is_empty() {
+        Ok(Plan { steps, roll })
+    } else {
+        Err(faults)
+    }
+}
+
+/// What the gateway was told and the document made of that; every mandate is made from both, so that what was
+/// not changed keeps its figure to the last digit, also after a change was taken back.
+#[derive(Clone)]
+pub struct Origin {
+    pub mandate: Mandate,
+    pub document: Document,
+    pub frame: Frame,
+}
+
+impl Origin {
+    /// The mandate of a document that `plan` let through, in the order of the roll.
+    pub fn mandate(&self, to: &Document, roll: &Roll) -> Mandate {
+        let (m, was) = (&self.mandate, &self.document);
+        let changed = |at: bool, new: f64, old: f64| if at { new } else { old };
+        let ration = match (to.ration, was.ration == to.ration) {
+            (_, true) => m.ration,
+            (None, _) => None,
+            (Some(r), _) => Some(Ration { spare: r.spare as f64, share: r.share.get(), span: r.span as f64 }),
+        };
+        let (cold, old) = (&to.cold, &was.cold);
+        Mandate {
+            gateways: changed(to.gateways != was.gateways, to.gateways as f64, m.gateways),
+            bands: roll.0.iter().map(|slot| self.terms(slot, to)).collect(),
+            come_back_most: changed(to.advice != was.advice, to.advice as f64, m.come_back_most),
+            most_forwards: to.forwards_most,
+            cold_from: changed(cold.from != old.from, cold.from.get(), m.cold_from),
+            warm_after: changed(cold.warm_after != old.warm_after, cold.warm_after as f64, m.warm_after),
+            fall_multiple: changed(cold.multiple != old.multiple, cold.multiple.get(), m.fall_multiple),
+            fall_span: changed(cold.span != old.span, cold.span as f64, m.fall_span),
+            ration,
+            ..m.clone()
+        }
+    }
+
+    fn terms(&self, slot: &Slot, to: &Document) -> Terms {
+        let told = self.document.band.iter().position(|b| b.name == slot.name);
+        let told = told.map(|i| (&self.mandate.bands[i], &self.document.band[i]));
+        let Some(band) = to.band.iter().find(|b| b.name == slot.name) else {
+            // Out of service. What it was matters no more to new ones; open ones go by their own terms.
+            let was = told.map(|t| t.0.clone()).unwrap_or_default();
+            return Terms {
+                closed: true,
+                threads: slot.threads as f64,
+                repeat: repeat(slot),
+                window: Ms::INFINITY,
+                zones: None,
+                kinds: None,
+                expected: was.expected.max(1.0),
+                payoff: if was.payoff > 0.0 { was.payoff } else { 1.0 },
+                in_order: slot.in_order,
+                ..was
+            };
+        };
+        let indices = |names: &[String], known: &[String]| {
+            let found = names.iter().filter_map(|n| Frame::index(known, n)).collect();
+            (!names.is_empty()).then_some(found)
+        };
+        let mut terms = Terms {
+            expected: band.expected as f64,
+            expected_stretch: band.expected_stretch.get(),
+            payoff: band.payoff.get(),
+            threads: slot.threads as f64,
+            repeat: repeat(slot),
+            window: band.window.unwrap_or(0) as f64,
+            in_order: slot.in_order,
+            zones: indices(&band.zone, &self.frame.zones),
+            kinds: indices(&band.kind, &self.frame.kinds),
+            closed: false,
+        };
+        if let Some((told, was)) = told {
+            let keep = |same: bool, new: &mut f64, old: f64| {
+                if same {
+                    *new = old;
+                }
+            };
+            keep(was.expected == band.expected, &mut terms.expected, told.expected);
+            keep(
+                was.expected_stretch == band.expected_stretch,
+                &mut terms.expected_stretch,
+                told.expected_stretch,
+            );
+            keep(was.payoff == band.payoff, &mut terms.payoff, told.payoff);
+            keep(was.window == band.window, &mut terms.window, told.window);
+            if was.zone == band.zone {
+                terms.zones = told.zones.clone();
+            }
+            if was.kind == band.kind {
+                terms.kinds = told.kinds.clone();
+            }
+        }
+        terms
+    }
+}
+
+fn repeat(slot: &Slot) -> Repeat {
+    match (slot.repeat, slot.within) {
+        (Again::Repeatable, _) => Repeat::Repeatable,
+        (Again::OnceOnly, _) => Repeat::OnceOnly,
+        (Again::Tagged, Group::All) => Repeat::Tagged(Within::All),
+        (Again::Tagged, Group::Zone) => Repeat::Tagged(Within::Zone),
+        (Again::Tagged, Group::Cell) => Repeat::Tagged(Within::Cell),
+    }
+}
--- /dev/null
+++ b/crates/change/src/revisions.rs
@@ -0,0 +1,319 @@
+//! Which settings run: revisions, confirmed commits and what survives a restart, as a state machine.
+//!
+//! One input at a time is handed to [`Ledger::on`], which goes through `RULES` in order after each until none
+//! fires. What it asks for is carried out in its order: a record is on the disk before its revision is applied or
+//! its caller answered, but for a change that is taken back, which waits for no disk.
+
+use crate::journal::{Kept, Line, Record};
+use ironstair::Ms;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Revisions that are remembered.
+pub const REMEMBERED: usize = 32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    Running,
+    Unconfirmed,
+    Replaced,
+    TakenBack,
+}
+
+/// What somebody asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask<D> {
+    /// Other settings, at once; to be confirmed under that id within that time, or for good.
+    Set {
+        who: String,
+        what: String,
+        document: D,
+        commit: Option<(String, Ms)>,
+    },
+    Confirm {
+        id: String,
+    },
+    Cancel {
+        id: String,
+    },
+    /// The unconfirmed one has from now on so long.
+    Extend {
+        id: String,
+        span: Ms,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input<D> {
+    /// One at a time: the next once this is answered.
+    Asked(Ask<D>),
+    /// How the write asked for ended.
+    Written(Result<(), String>),
+    /// Time has gone on.
+    Due,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refusal {
+    /// One waits to be confirmed; only that, a cancel or another time is heard.
+    Unconfirmed { number: u64, id: String },
+    /// Nothing waits to be confirmed under that id.
+    NoSuchCommit { id: String },
+    /// The disk did not take it; nothing has changed.
+    NotKept { why: String },
+    /// An ask was not answered yet.
+    Busy,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<D> {
+    /// Appended to the journal and brought to the disk; then `Written`.
+    Write(Record<D>),
+    /// As `Write`, but nothing waits for it, and no `Written` follows.
+    Note(Record<D>),
+    /// These settings run from now on.
+    Apply {
+        number: u64,
+        document: D,
+    },
+    Answer(Result<u64, Refusal>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Trial<D> {
+    id: String,
+    until: Ms,
+    /// What ran before, and under which number.
+    before: (u64, D),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Write<D> {
+    Set { line: Line, document: D, commit: Option<(String, Ms)> },
+    Confirm,
+}
+
+/// The revisions of one gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ledger<D> {
+    running: D,
+    number: u64,
+    next: u64,
+    lines: VecDeque<Line>,
+    trial: Option<Trial<D>>,
+    durable: bool,
+    now: Ms,
+    asked: Option<Ask<D>>,
+    writing: Option<Write<D>>,
+    written: Option<Result<(), String>>,
+}
+
+type Rule<D> = fn(&mut Ledger<D>, &mut Vec<Action<D>>) -> bool;
+
+impl<D: Clone + PartialEq> Ledger<D> {
+    /// What an ask comes to, in order: a write that has ended, the time that has run out, then what is asked.
+    const RULES: [Rule<D>; 8] = [
+        Self::answer_what_was_not_kept,
+        Self::run_what_was_kept,
+        Self::take_back_the_overdue,
+        Self::refuse_a_second,
+        Self::refuse_an_unknown_commit,
+        Self::set,
+        Self::confirm,
+        Self::cancel_or_extend,
+    ];
+
+    /// `durable`: whether there is a disk to write to. `kept` is what a journal says, see [`Kept::open`].
+    pub fn new(kept: Kept<D>, durable: bool) -> Self {
+        Ledger {
+            running: kept.running,
+            number: kept.number,
+            next: kept.next,
+            lines: kept.lines,
+            trial: None,
+            durable,
+            now: 0.0,
+            asked: None,
+            writing: None,
+            written: None,
+        }
+    }
+
+    pub fn running(&self) -> &D {
+        &self.running
+    }
+
+    pub fn lines(&self) -> &VecDeque<Line> {
+        &self.lines
+    }
+
+    /// The number of the revision that runs, 0 for what was told at start.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What waits to be confirmed: its id, and until when.
+    pub fn trial(&self) -> Option<(&str, Ms)> {
+        self.trial.as_ref().map(|t| (t.id.as_str(), t.until))
+    }
+
+    /// When `Due` is wanted next.
+    pub fn due(&self) -> Option<Ms> {
+        self.trial.as_ref().filter(|_| self.writing.is_none()).map(|t| t.until)
+    }
+
+    pub fn on(&mut self, now: Ms, input: Input<D>) -> Vec<Action<D>> {
+        let mut actions = Vec::new();
+        self.now = now;
+        match input {
+            Input::Asked(_) if self.asked.is_some() || self.writing.is_some() => {
+                actions.push(Action::Answer(Err(Refusal::Busy)));
+            }
+            Input::Asked(ask) => self.asked = Some(ask),
+            Input::Written(how) => self.written = self.writing.is_some().then_some(how),
+            Input::Due => {}
+        }
+        while Self::RULES.iter().any(|rule| rule(self, &mut actions)) {}
+        actions
+    }
+
+    /// Gives the revision that runs another standing.
+    fn mark(&mut self, standing: Standing) {
+        if let Some(l) = self.lines.iter_mut().find(|l| l.number == self.number) {
+            (l.standing, l.until) = (standing, None);
+        }
+    }
+
+    fn record(&mut self, write: Write<D>, record: Record<D>, actions: &mut Vec<Action<D>>) {
+        self.writing = Some(write);
+        match self.durable {
+            true => actions.push(Action::Write(record)),
+            false => self.written = Some(Ok(())),
+        }
+    }
+
+    fn answer_what_was_not_kept(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let Some(why) = self.written.take_if(|w| w.is_err()).and_then(Result::err) else { return false };
+        self.writing = None;
+        actions.push(Action::Answer(Err(Refusal::NotKept { why })));
+        true
+    }
+
+    fn run_what_was_kept(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let Some(Ok(())) = self.written.take() else { return false };
+        match self.writing.take() {
+            Some(Write::Set { line, document, commit }) => {
+                self.mark(Standing::Replaced);
+                let number = line.number;
+                // The time runs from here, where the settings begin to: a slow disk does not eat it up.
+                let until = commit.as_ref().map(|c| self.now + c.1);
+                self.lines.push_back(Line { until, ..line });
+                if self.lines.len() > REMEMBERED {
+                    self.lines.pop_front();
+                }
+                let before = std::mem::replace(&mut self.running, document.clone());
+                let before = (std::mem::replace(&mut self.number, number), before);
+                self.next = number + 1;
+                self.trial = commit.map(|(id, span)| Trial { id, until: self.now + span, before });
+                actions.push(Action::Apply { number, document });
+                actions.push(Action::Answer(Ok(number)));
+            }
+            Some(Write::Confirm) => {
+                self.trial = None;
+                self.mark(Standing::Running);
+                actions.push(Action::Answer(Ok(self.number)));
+            }
+            None => {}
+        }
+        true
+    }
+
+    // A confirmation that came in time and is being written counts.
+    fn take_back_the_overdue(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let overdue = self.writing.is_none() && self.trial.as_ref().is_some_and(|t| t.until <= self.now);
+        overdue && self.take_back(actions)
+    }
+
+    fn take_back(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let Some(trial) = self.trial.take() else { return false };
+        let number = self.number;
+        self.mark(Standing::TakenBack);
+        (self.number, self.running) = trial.before;
+        self.mark(Standing::Running);
+        actions.push(Action::Apply { number: self.number, document: self.running.clone() });
+        if self.durable {
+            actions.push(Action::Note(Record::TakenBack { number }));
+        }
+        true
+    }
+
+    fn refuse_a_second(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let Some(trial) = &self.trial else { return false };
+        if self.asked.take_if(|a| matches!(a, Ask::Set { .. })).is_none() {
+            return false;
+        }
+        let refusal = Refusal::Unconfirmed { number: self.number, id: trial.id.clone() };
+        actions.push(Action::Answer(Err(refusal)));
+        true
+    }
+
+    fn refuse_an_unknown_commit(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let known = |id: &String| self.trial.as_ref().is_some_and(|t| t.id == *id);
+        let unknown = match &self.asked {
+            Some(Ask::Confirm { id } | Ask::Cancel { id } | Ask::Extend { id, .. }) if !known(id) => {
+                id.clone()
+            }
+            _ => return false,
+        };
+        self.asked = None;
+        actions.push(Action::Answer(Err(Refusal::NoSuchCommit { id: unknown })));
+        true
+    }
+
+    fn set(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        let Some(Ask::Set { who, what, document, commit }) =
+            self.asked.take_if(|a| matches!(a, Ask::Set { .. }))
+        else {
+            return false;
+        };
+        let line = Line {
+            number: self.next,
+            who,
+            when: self.now,
+            what,
+            standing: if commit.is_some() { Standing::Unconfirmed } else { Standing::Running },
+            commit: commit.as_ref().map(|c| c.0.clone()),
+            until: None,
+        };
+        let record = Record::Set { line: line.clone(), document: document.clone() };
+        self.record(Write::Set { line, document, commit }, record, actions);
+        true
+    }
+
+    fn confirm(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        if self.asked.take_if(|a| matches!(a, Ask::Confirm { .. })).is_none() {
+            return false;
+        }
+        let record = Record::Confirmed { number: self.number };
+        self.record(Write::Confirm, record, actions);
+        true
+    }
+
+    fn cancel_or_extend(&mut self, actions: &mut Vec<Action<D>>) -> bool {
+        match self.asked.take() {
+            Some(Ask::Extend { span, .. }) => {
+                let (until, number) = (self.now + span, self.number);
+                self.trial.iter_mut().for_each(|t| t.until = until);
+                self.lines.iter_mut().filter(|l| l.number == number).for_each(|l| l.until = Some(until));
+                actions.push(Action::Answer(Ok(number)));
+            }
+            Some(Ask::Cancel { .. }) => {
+                self.take_back(actions);
+                actions.push(Action::Answer(Ok(self.number)));
+            }
+            _ => return false,
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/change/tests/plan.rs
@@ -0,0 +1,127 @@
+//! What a change does and when, and what it can't be.
+
+use ironstair::{Kind, Mandate, Ration, Repeat, Terms, Within};
+use ironstair_change::document::{Document, Frame};
+use ironstair_change::plan::{plan, Origin, Roll, When, ROLL_MOST};
+use ironstair_change::Decimal;
+
+fn origin() -> Origin {
+    let terms = |expected: f64, repeat| Terms {
+        expected,
+        payoff: 1.0 / 3.0,
+        threads: 2.0,
+        repeat,
+        window: 900.4,
+        ..Terms::default()
+    };
+    let mandate = Mandate {
+        gateways: 3.0,
+        bands: vec![terms(1000.25, Repeat::Repeatable), terms(5000.0, Repeat::Tagged(Within::Cell))],
+        kinds: vec![Kind { cores: 16.0, memory_mb: 1.0 }],
+        most_forwards: 6,
+        cold_from: 0.123456,
+        warm_after: 15e3,
+        fall_multiple: 4.0,
+        fall_span: 1e3,
+        ration: Some(Ration { spare: 10.0, share: 0.1, span: 10e3 }),
+        ..Mandate::default()
+    };
+    let frame = Frame { zones: vec!["a".into(), "b".into()], kinds: vec!["std".into()] };
+    let names = ["lookup".to_string(), "post".to_string()];
+    let document = Document::told(&mandate, &names, &[5e3, 20e3], &frame);
+    Origin { mandate, document, frame }
+}
+
+fn tried(change: impl Fn(&mut Document)) -> Result<(Vec<(String, When)>, Mandate), Vec<String>> {
+    let o = origin();
+    let mut to = o.document.clone();
+    change(&mut to);
+    match plan(&o.document, &to, &Roll::of(&o.document), &o.frame) {
+        Ok(p) => Ok((p.steps.into_iter().map(|s| (s.path, s.when)).collect(), o.mandate(&to, &p.roll))),
+        Err(faults) => Err(faults.iter().map(|f| f.to_string()).collect()),
+    }
+}
+
+#[test]
+fn what_is_not_changed_keeps_its_figure_to_the_last_digit() {
+    let told = origin().mandate;
+    let (steps, same) = tried(|_| {}).unwrap();
+    assert_eq!((steps.len(), format!("{same:?}")), (0, format!("{told:?}")));
+    let (steps, new) = tried(|d| d.band[0].payoff = Decimal::of(2.0)).unwrap();
+    assert_eq!(steps, [("/settings/band[name=lookup]/payoff".to_string(), When::AtOnce)]);
+    assert_eq!((new.bands[0].expected, new.bands[1].payoff, new.cold_from), (1000.25, 1.0 / 3.0, 0.123456));
+    assert_eq!(new.bands[0].payoff, 2.0);
+}
+
+#[test]
+fn each_field_says_when_it_takes_effect() {
+    let (steps, new) = tried(|d| {
+        d.band[0].expected = 700;
+        d.band[0].zone = vec!["b".into()];
+        d.band.remove(1);
+        d.ration = None;
+        d.gateways = 4;
+    })
+    .unwrap();
+    let at = |path: &str| steps.iter().find(|s| s.0.ends_with(path)).map(|s| s.1);
+    assert_eq!(at("band[name=lookup]/expected"), Some(When::NewOnly));
+    assert_eq!(at("band[name=lookup]/zone"), Some(When::AtOnce));
+    assert_eq!(at("band[name=post]"), Some(When::OpenFirst));
+    assert_eq!((at("gateways"), at("ration/share")), (Some(When::AtOnce), Some(When::AtOnce)));
+    assert_eq!((new.bands[0].zones.clone(), new.gateways), (Some(vec![1]), 4.0));
+    assert!(new.ration.is_none() && new.bands[1].closed && !new.bands[0].closed);
+    // Out of service it still tells apart what it takes and what may run again.
+    assert_eq!((new.bands[1].repeat, new.bands[1].threads), (Repeat::Tagged(Within::Cell), 2.0));
+}
+
+#[test]
+fn what_cannot_change_in_service_is_refused_by_its_path() {
+    let cases: [(&dyn Fn(&mut Document), &str); 8] = [
+        (&|d| d.band[0].threads = 3, "/settings/band[name=lookup]/threads: cannot change in service"),
+        (&|d| d.band[0].in_order = true, "/settings/band[name=lookup]/in-order: cannot"),
+        (&|d| d.band[0].hard_limit = 10, "/settings/band[name=lookup]/hard-limit: the hard limit is shorter"),
+        (&|d| d.band[1].window = None, "/settings/band[name=post]/window: a tagged band needs"),
+        (&|d| d.band[0].window = Some(1), "/settings/band[name=lookup]/window: window is for tagged"),
+        (&|d| d.band[0].zone = vec!["c".into()], "/settings/band[name=lookup]/zone: c is not among"),
+        (&|d| d.band[1].name = "lookup".into(), "/settings/band[name=lookup]/name: the name is there twice"),
+        (&|d| d.band.clear(), "/settings/band: there must be a band"),
+    ];
+    for (change, why) in cases {
+        let faults = tried(change).unwrap_err();
+        assert!(faults.iter().any(|f| f.starts_with(why)), "{why}: {faults:?}");
+    }
+}
+
+#[test]
+fn a_band_comes_back_to_its_place_only_as_it_was_and_new_ones_get_new_places() {
+    let o = origin();
+    let (mut out, mut back) = (o.document.clone(), o.document.clone());
+    let post = out.band.remove(1);
+    let roll = plan(&o.document, &out, &Roll::of(&o.document), &o.frame).unwrap().roll;
+    assert_eq!(roll.find("post"), Some(1));
+    back.band.insert(0, ironstair_change::Band { name: "audit".into(), ..post.clone() });
+    let p = plan(&out, &back, &roll, &o.frame).unwrap();
+    assert_eq!((p.roll.find("post"), p.roll.find("audit")), (Some(1), Some(2)));
+    let m = o.mandate(&back, &p.roll);
+    assert_eq!((m.bands.len(), m.bands[1].window, m.bands[2].window), (3, 900.4, 900.0));
+    back.band[2].threads = 9;
+    assert!(plan(&out, &back, &p.roll, &o.frame).is_err());
+}
+
+#[test]
+fn bands_that_come_and_go_by_other_names_are_bounded() {
+    let o = origin();
+    let (mut from, mut roll) = (o.document.clone(), Roll::of(&o.document));
+    for nth in 2..=ROLL_MOST {
+        let mut to = o.document.clone();
+        to.band[1].name = format!("b{nth}");
+        match plan(&from, &to, &roll, &o.frame) {
+            Ok(p) => (from, roll) = (to, p.roll),
+            Err(faults) => {
+                assert_eq!((nth, faults.len()), (ROLL_MOST, 1));
+                return;
+            }
+        }
+    }
+    panic!("no bound");
+}
