--- a/crates/change/tests/plan.rs
+++ b/crates/change/tests/plan.rs
@@ -32,7 +32,10 @@
     Origin { mandate, document, frame }
 }
 
-fn tried(change: impl Fn(&mut Document)) -> Result<(Vec<(String, When)>, Mandate), Vec<String>> {
+type Tried = Result<(Vec<(String, When)>, Mandate), Vec<String>>;
+type Change<'a> = &'a dyn Fn(&mut Document);
+
+fn tried(change: impl Fn(&mut Document)) -> Tried {
     let o = origin();
     let mut to = o.document.clone();
     change(&mut to);
@@ -76,7 +79,7 @@
 
 #[test]
 fn what_cannot_change_in_service_is_refused_by_its_path() {
-    let cases: [(&dyn Fn(&mut Document), &str); 8] = [
+    let cases: [(Change, &str); 8] = [
         (&|d| d.band[0].threads = 3, "/settings/band[name=lookup]/threads: cannot change in service"),
         (&|d| d.band[0].in_order = true, "/settings/band[name=lookup]/in-order: cannot"),
         (&|d| d.band[0].hard_limit = 10, "/settings/band[name=lookup]/hard-limit: the hard limit is shorter"),
--- /dev/null
+++ b/crates/tree/src/state.rs
@@ -0,0 +1,245 @@
+//! What a gateway knows, as it is handed over to who looks on, and the leaves of that.
+
+use crate::leaves::Leaves;
+use crate::path::{Path, Step};
+use crate::schema::Value;
+use ironstair::logic::{BandView, EngineView};
+use ironstair::{Ms, Standing};
+use ironstair_change::journal::Line;
+use ironstair_change::revisions;
+use std::sync::Arc;
+
+/// One engine of the roster.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Engine {
+    pub id: u64,
+    pub address: String,
+    pub zone: Arc<str>,
+    pub kind: Arc<str>,
+    pub cell: u16,
+    pub since: Ms,
+    pub inflight: u32,
+    pub connections: u32,
+    pub view: EngineView,
+}
+
+/// One band, and what became of its submissions since the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Band {
+    pub name: String,
+    pub in_service: bool,
+    pub counts: Counts,
+    pub view: BandView,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub released: u64,
+    pub settled: u64,
+    pub turned_back: u64,
+    pub scrapped: u64,
+    pub left: u64,
+    pub late: u64,
+}
+
+/// All that the gateway's thread knows at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Unix time in ms.
+    pub at: Ms,
+    pub engines: imbl::OrdMap<Arc<str>, Engine>,
+    pub bands: Vec<Band>,
+    pub source: String,
+    pub serial: u32,
+    pub heard: Ms,
+    pub connections: u32,
+    pub connections_most: u32,
+    pub open: u32,
+    pub lent: u32,
+    pub buffers_most: u32,
+    pub started: Ms,
+    pub ending: bool,
+}
+
+fn moment(at: Ms) -> Value {
+    Value::Wide(at.max(0.0) as u64)
+}
+
+fn step(name: &str, key: Option<&str>) -> Step {
+    Step { name: name.into(), key: key.map(Into::into) }
+}
+
+/// Leaves of one node, by name.
+struct Node<'a> {
+    at: Path,
+    to: &'a mut Leaves,
+}
+
+impl Node<'_> {
+    fn set(&mut self, name: &str, value: Value) {
+        self.to.insert(self.at.child(&name.into(), None), value);
+    }
+    fn count(&mut self, name: &str, n: u64) {
+        self.set(name, Value::Uint(n.min(u32::MAX as u64)));
+    }
+    fn wide(&mut self, name: &str, n: u64) {
+        self.set(name, Value::Wide(n));
+    }
+    fn decimal(&mut self, name: &str, x: f64, digits: u8) {
+        self.set(name, Value::decimal(x, digits));
+    }
+    fn text(&mut self, name: &str, text: &str) {
+        self.set(name, Value::text(text));
+    }
+}
+
+fn at(to: &mut Leaves, steps: impl IntoIterator<Item = Step>) -> Node<'_> {
+    let at = Path([step("state", None)].into_iter().chain(steps).collect());
+    Node { at, to }
+}
+
+/// The leaves of the state: those of the last snapshot with what has changed since. Engines that have not
+/// changed keep theirs, so that a big roster costs only what moves in it.
+pub fn update(leaves: &Leaves, was: &Snapshot, is: &Snapshot) -> Leaves {
+    let mut new = leaves.clone();
+    for change in was.engines.diff(&is.engines) {
+        use imbl::ordmap::DiffItem;
+        match change {
+            DiffItem::Add(name, e) => engine(&mut new, name, None, e, is.at),
+            DiffItem::Update { old: (_, old), new: (name, e) } => engine(&mut new, name, Some(old), e, is.at),
+            DiffItem::Remove(name, _) => {
+                let entry = Path([step("state", None), step("engine", Some(name))].into());
+                remove(&mut new, &entry);
+            }
+        }
+    }
+    for (nth, b) in is.bands.iter().enumerate() {
+        if was.bands.get(nth) != Some(b) {
+            band(&mut new, b);
+        }
+    }
+    let mut n = at(&mut new, [step("list", None)]);
+    n.text("source", &is.source);
+    n.count("serial", is.serial as u64);
+    n.set("heard", moment(is.heard));
+    n.count("engines", is.engines.len() as u64);
+    let mut n = at(&mut new, [step("clients", None)]);
+    n.count("connections", is.connections as u64);
+    n.count("connections-most", is.connections_most as u64);
+    n.count("open", is.open as u64);
+    let mut n = at(&mut new, [step("buffers", None)]);
+    n.count("lent", is.lent as u64);
+    n.count("most", is.buffers_most as u64);
+    let mut n = at(&mut new, [step("process", None)]);
+    n.set("started", moment(is.started));
+    n.set("ending", Value::Bool(is.ending));
+    new
+}
+
+/// What does not change while the process runs.
+pub fn process(name: &str, version: &str) -> Leaves {
+    let mut new = Leaves::new();
+    let mut n = at(&mut new, [step("process", None)]);
+    n.text("name", name);
+    n.text("version", version);
+    new
+}
+
+fn remove(leaves: &mut Leaves, entry: &Path) {
+    let gone = leaves.range(entry.clone()..).take_while(|(p, _)| p.starts_with(entry));
+    let gone: Vec<Path> = gone.map(|(p, _)| p.clone()).collect();
+    gone.iter().for_each(|p| drop(leaves.remove(p)));
+}
+
+fn engine(to: &mut Leaves, name: &str, was: Option<&Engine>, e: &Engine, now: Ms) {
+    let optional = |e: &Engine| (e.view.cold_left.is_some(), e.view.aside.is_some());
+    let entry = [step("engine", Some(name))];
+    if was.is_some_and(|w| optional(w) != optional(e)) {
+        let path = at(to, entry.clone()).at;
+        remove(to, &path);
+    }
+    let v = &e.view;
+    let mut n = at(to, entry);
+    n.text("name", name);
+    n.text("id", &format!("{:012x}", e.id));
+    n.text("address", &e.address);
+    let standing = match v.standing {
+        Standing::Ready => "ready",
+        Standing::Draining => "draining",
+        Standing::Gone => "gone",
+    };
+    n.text("standing", standing);
+    n.text("zone", &e.zone);
+    n.text("kind", &e.kind);
+    n.count("cell", e.cell as u64);
+    n.set("since", moment(e.since));
+    n.count("inflight", e.inflight as u64);
+    n.decimal("threads", v.threads, 3);
+    let own = if v.cores > 0.0 { v.threads / v.cores } else { 0.0 };
+    n.decimal("util", v.report.map_or(own, |r| r.1), 3);
+    n.set("util-told", moment(v.report.map_or(0.0, |r| r.0)));
+    n.decimal("pace", v.stretch.min(1e9), 3);
+    n.count("failures", v.failures as u64);
+    n.count("outcomes", v.seen as u64);
+    n.set("aside", Value::Bool(v.aside.is_some()));
+    if v.aside.is_some() {
+        n.text("aside-why", &format!("{} of {} failed", v.failures, v.seen));
+    }
+    n.set("full", Value::Bool(v.full_until > now));
+    if let Some(left) = v.cold_left {
+        n.count("cold-left", left as u64);
+    }
+    n.count("connections", e.connections as u64);
+}
+
+fn band(to: &mut Leaves, b: &Band) {
+    let mut n = at(to, [step("band", Some(&b.name))]);
+    let (c, v) = (&b.counts, &b.view);
+    n.text("name", &b.name);
+    n.set("in-service", Value::Bool(b.in_service));
+    n.count("waiting", v.waiting as u64);
+    n.decimal("threads", v.threads, 3);
+    n.wide("taken", c.taken);
+    n.wide("released", c.released);
+    n.wide("settled", c.settled);
+    n.wide("turned-back", c.turned_back);
+    n.wide("scrapped", c.scrapped);
+    n.wide("left", c.left);
+    n.wide("late", c.late);
+    n.decimal("charged", v.charged.min(1e15), 3);
+    n.decimal("weight", v.weight.min(1e9), 9);
+    n.decimal("usual-work", v.usual.min(1e15), 3);
+}
+
+/// The revisions that are remembered.
+pub fn revisions<'a>(leaves: &Leaves, lines: impl Iterator<Item = &'a Line>) -> Leaves {
+    let mut new = leaves.clone();
+    let list = Path([step("state", None)].into());
+    let old = new.range(list.clone()..).take_while(|(p, _)| p.starts_with(&list));
+    let old = old.filter(|(p, _)| p.0.get(1).is_some_and(|s| &*s.name == "revision"));
+    let old: Vec<Path> = old.map(|(p, _)| p.clone()).collect();
+    old.iter().for_each(|p| drop(new.remove(p)));
+    for l in lines {
+        let number = l.number.to_string();
+        let mut n = at(&mut new, [step("revision", Some(&number))]);
+        n.wide("number", l.number);
+        n.text("who", &l.who);
+        n.set("when", moment(l.when));
+        n.text("what", &l.what);
+        let outcome = match l.standing {
+            revisions::Standing::Running => "running",
+            revisions::Standing::Unconfirmed => "unconfirmed",
+            revisions::Standing::Replaced => "replaced",
+            revisions::Standing::TakenBack => "taken-back",
+        };
+        n.text("outcome", outcome);
+        if let Some(until) = l.until {
+            n.set("until", moment(until));
+        }
+        if let Some(commit) = &l.commit {
+            n.text("commit", commit);
+        }
+    }
+    new
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 mod view;
+pub use view::{BandView, EngineView};
 
 /// Threads a core that all gateways may keep busy on an engine under pressure: not all are busy at once.
 const FACTOR: f64 = 2.5;
