Management over gNMI on a real gateway: get, set with confirmation, watch, revisions

Need: operators change settings in the busy season and read state by hand. With `--operator FILE` a thread of its own serves the tree over gNMI (tonic, prost; .proto of our own with the published numbers): Capabilities, Get, Set with the commit extension and master arbitration, Subscribe in all modes. `ironstair get, set, confirm, cancel, watch, revisions, yang, schema` are its user. Without the file nothing new runs.

--- a/crates/change/src/revisions.rs
+++ b/crates/change/src/revisions.rs
@@ -153,6 +153,24 @@
         self.number
     }
 
+    /// The number of the next revision.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// What would run after a restart now, its number, and the revisions as they would stand then.
+    pub fn firm(&self) -> (u64, D, VecDeque<Line>) {
+        let Some(trial) = &self.trial else {
+            return (self.number, self.running.clone(), self.lines.clone());
+        };
+        let mut after = self.clone();
+        let (number, running) = trial.before.clone();
+        after.mark(Standing::TakenBack);
+        after.number = number;
+        after.mark(Standing::Running);
+        (number, running, after.lines)
+    }
+
     /// What waits to be confirmed: its id, and until when.
     pub fn trial(&self) -> Option<(&str, Ms)> {
         self.trial.as_ref().map(|t| (t.id.as_str(), t.until))
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -263,7 +263,7 @@
             self.plain(|m| rpc::fit(m, call, !self.place.of.begun()));
             return Ok(None);
         }
-        let band = self.shared.bands.iter().position(|b| b.as_bytes() == method);
+        let band = self.shared.bands().iter().position(|b| b.name.as_bytes() == method);
         let band = band.ok_or((Some(call), rpc::UNKNOWN_METHOD))?;
         if self.open.borrow().contains_key(&call) {
             // Which of the two an answer is for could not be told: neither gets one.
@@ -276,7 +276,7 @@
         let unusable = (Some(call), rpc::INVALID_FIELDS);
         let id = p.text("id").as_deref().and_then(id).ok_or(unusable)?;
         // A little more than the longest: clients may count otherwise.
-        let longest = self.shared.carriage.longest;
+        let longest = self.shared.longest.get();
         let left = p.figure("wait", 2.0 * longest).ok().flatten().filter(|l| *l > 0.0).ok_or(unusable)?;
         let work = p.figure("cost", self.shared.work_most()).map_err(|_| unusable)?;
         let memory = p.figure("ram", MEMORY_MOST).map_err(|_| unusable)?;
@@ -346,7 +346,7 @@
                 (&mut &*stream).write_all(&out).await
             };
             // A client that does not read is not waited for longer than any client waits.
-            within(self.shared.carriage.longest, written).await?;
+            within(self.shared.longest.get(), written).await?;
             self.writing.set(false);
             self.over(call, true);
         }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -10,6 +10,7 @@
 use ironstair_mail::{Event, Forward, Id, Order, Shared};
 use ironstair_protocol::lines::{self, Fields, Word};
 use slog::warn;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,6 +58,8 @@
     opened: u64,
     asked: u64,
     events: Vec<Event>,
+    /// How many connections there are, for who looks on.
+    connections: Rc<Cell<u32>>,
 }
 
 fn text(id: &Id) -> &str {
@@ -65,9 +68,15 @@
 }
 
 impl Engine {
-    pub fn new(index: usize, address: SocketAddr, shared: Rc<Shared>, own: Sender<Order>) -> Self {
-        let (flights, links) = (BTreeMap::new(), BTreeMap::new());
-        Engine { index, address, shared, own, flights, links, opened: 0, asked: 0, events: Vec::new() }
+    pub fn new(
+        index: usize,
+        address: SocketAddr,
+        shared: Rc<Shared>,
+        own: Sender<Order>,
+        connections: Rc<Cell<u32>>,
+    ) -> Self {
+        let (flights, links, events) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        Engine { index, address, shared, own, flights, links, opened: 0, asked: 0, events, connections }
     }
 
     pub async fn run(mut self, orders: Receiver<Order>) {
@@ -83,6 +92,7 @@
                     all.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
                 }
             }
+            self.connections.set(self.links.len() as u32);
             for event in self.events.drain(..) {
                 if self.shared.module.send(event).await.is_err() {
                     return;
@@ -165,7 +175,7 @@
     /// Whether its connection has been silent for longer than the forward was expected to take.
     fn unheard(&self, f: &Flight) -> bool {
         let heard = self.links.get(&f.link).filter(|l| l.up).map(|l| l.heard.max(f.sent));
-        heard.is_some_and(|h| self.shared.clock.now() - h > self.shared.expected[f.of.band])
+        heard.is_some_and(|h| self.shared.clock.now() - h > self.shared.bands()[f.of.band].expected)
     }
 
     fn forward(&mut self, of: Forward) {
@@ -185,7 +195,8 @@
         let Some(f) = self.flights.get(id) else { return };
         let left = (f.of.limit - self.shared.clock.now()).max(1.0);
         let (mut line, statement) = (Vec::new(), f.of.statement.clone());
-        let band = &self.shared.bands[f.of.band];
+        let bands = self.shared.bands();
+        let band = &bands[f.of.band].name;
         lines::forward(&mut line, text(id), band, left as u64, f.of.priority, statement.size());
         self.say(f.link, line, Some(statement));
     }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -6,11 +6,12 @@
 use futures_lite::future::or;
 use ironstair::Standing;
 use ironstair_mail::clock::span;
-use ironstair_mail::{Event, Place};
+use ironstair_mail::{Event, Place, Shared};
 use ironstair_protocol::dns;
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::rc::Rc;
 use std::time::Instant;
 
 const ZONE: &str = "_data._tcp.farm.lan";
@@ -37,6 +38,7 @@
     pub rev: u32,
     pub module: Sender<Event>,
     pub log: Logger,
+    pub shared: Rc<Shared>,
 }
 
 impl List {
@@ -64,11 +66,13 @@
     async fn heard(&mut self, rev: u32, lines: BTreeMap<String, Place>) {
         if rev > self.rev && self.module.send(Event::Roster(lines)).await.is_ok() {
             self.rev = rev;
+            self.shared.gauges.serial.set(rev);
         }
     }
 
     async fn ask(&mut self) -> std::io::Result<()> {
         let socket = Async::<UdpSocket>::bind((self.from, 0))?;
+        self.shared.gauges.source.replace(format!("dns {}", self.names));
         let (mut query, mut packet) = (Vec::new(), vec![0; dns::ANSWER_MOST]);
         let (mut unanswered, mut unread) = (0u32, false);
         for number in (0..=u16::MAX).cycle() {
@@ -100,6 +104,7 @@
                 if std::mem::take(&mut unanswered) >= SILENT {
                     info!(self.log, "name service answers again");
                 }
+                self.shared.gauges.heard.set(self.shared.clock.now());
                 self.heard(serial, lines).await;
             }
             Timer::at(until).await;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,14 +5,19 @@
 mod link;
 mod list;
 mod log;
+mod management;
 mod module;
+mod operator;
 mod places;
 mod start;
 mod told;
+mod user;
 
 use clap::{Parser, Subcommand};
+use ironstair_gnmi::proto::gnmi_ext::{commit::Action, CommitCancel, CommitConfirm};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use user::Failed;
 
 #[derive(Parser)]
 #[command(name = "ironstair", about = "Keeps short and long queries apart on shared engines")]
@@ -24,9 +29,25 @@
 #[derive(Subcommand)]
 enum Job {
     /// Serves until it is told to end
-    Serve(Source),
+    Serve(Serve),
     /// Reads what serve would be told, and says what is wrong with it
     Check(Source),
+    /// Prints the JSON Schema of a file
+    Schema { of: Schema },
+    /// Prints the YANG module of settings and state
+    Yang,
+    /// Shows what a gateway is set to and what it knows
+    Get(user::Get),
+    /// Changes a gateway's settings while it serves
+    Set(user::Set),
+    /// Keeps a change that waits to be confirmed
+    Confirm(user::Trial),
+    /// Takes back a change that waits to be confirmed
+    Cancel(user::Trial),
+    /// Shows changes as they come
+    Watch(user::Watch),
+    /// Shows the last changes of the settings, who made them and what became of them
+    Revisions(user::Listed),
     /// Prints the version
     Version,
 }
@@ -36,30 +57,76 @@
     /// What this gateway is told at start, as JSON
     #[arg(env = "ROUTER_CONFIG", value_name = "FILE")]
     told: PathBuf,
+    /// What the operator turns on beyond that, as JSON
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+#[derive(clap::Args)]
+struct Serve {
+    #[command(flatten)]
+    from: Source,
+    /// How the log is written
+    #[arg(long, value_enum, default_value_t)]
+    log: log::Form,
+}
+
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Schema {
+    /// The operator's file
+    Operator,
+}
+
+impl Source {
+    fn operator(&self) -> Result<Option<operator::Operator>, String> {
+        self.operator.as_deref().map(operator::read).transpose()
+    }
+}
+
+fn check(from: &Source, operator: Option<operator::Operator>) -> Result<(), String> {
+    let t = told::read(&from.told)?;
+    let (bands, engines) = (t.bands.len(), t.known.len());
+    println!("{}: {bands} bands, {engines} engines, listens on {}", t.name, t.listen);
+    if let Some(m) = operator.and_then(|o| o.management) {
+        management::fits(&t)?;
+        println!("management: gNMI on {}", m.listen);
+    }
+    Ok(())
 }
 
 fn main() -> ExitCode {
+    let plain = |how: Result<(), String>| how.map_err(|e| Failed(e, 1));
     let done = match Line::parse().job {
-        Job::Serve(from) => start::serve(&from.told),
-        Job::Check(from) => told::read(&from.told).map(|t| {
-            println!(
-                "{}: {} bands, {} engines, listens on {}",
-                t.name,
-                t.bands.len(),
-                t.known.len(),
-                t.listen
-            )
-        }),
+        Job::Serve(Serve { from, log }) => {
+            plain(from.operator().and_then(|operator| start::serve(&from.told, operator, log)))
+        }
+        Job::Check(from) => plain(from.operator().and_then(|operator| check(&from, operator))),
+        Job::Schema { of: Schema::Operator } => {
+            println!("{}", operator::schema());
+            Ok(())
+        }
+        Job::Yang => {
+            print!("{}", ironstair_tree::MODULE);
+            Ok(())
+        }
         Job::Version => {
             println!("ironstair {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        Job::Get(g) => user::run(user::get(g)),
+        Job::Set(s) => user::run(user::set(s)),
+        Job::Confirm(t) => user::run(user::trial(t, Action::Confirm(CommitConfirm {}))),
+        Job::Cancel(t) => user::run(user::trial(t, Action::Cancel(CommitCancel {}))),
+        Job::Watch(w) => user::run(user::watch(w)),
+        Job::Revisions(l) => user::run(user::revisions(l)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("ironstair: {e}");
-            ExitCode::FAILURE
+        Err(Failed(why, code)) => {
+            if !why.is_empty() {
+                eprintln!("ironstair: {why}");
+            }
+            ExitCode::from(code)
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/management.rs
@@ -0,0 +1,99 @@
+//! Management on a thread of its own: a busy reader costs the gateway's thread no more than the view it asks for.
+
+use crate::log::Least;
+use crate::operator::Management;
+use async_channel::{Receiver, Sender};
+use ironstair::Ms;
+use ironstair_gnmi::{serve, Service};
+use ironstair_mail::clock::Clock;
+use ironstair_mail::window::{Request, Told, Window};
+use ironstair_mail::Event;
+use ironstair_manage::{Manager, Started};
+use slog::{error, info, Logger};
+use std::net::TcpListener;
+use std::sync::Arc;
+
+/// What may wait for the gateway's thread.
+const MAILBOX: usize = 16;
+
+/// Opened before anything serves; started once the gateway's thread runs.
+pub struct Opened {
+    started: Started,
+    bound: TcpListener,
+    streams: usize,
+    pub window: Arc<Window>,
+}
+
+/// Reads what is kept and binds the listener.
+///
+/// # Errors
+/// The settings do not fit the tree, the folder can't be read, or the address is not free.
+pub fn open(m: &Management, told: &crate::told::Told) -> Result<Opened, String> {
+    let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
+    let (mandate, state) = (told.mandate.clone(), m.state.as_deref());
+    let started = ironstair_manage::open(mandate, &told.bands, &told.limits, frame, state)?;
+    Ok(Opened { started, bound: serve::bind(m.listen)?, streams: m.streams, window: Arc::default() })
+}
+
+/// Whether what is told can be shown and set.
+///
+/// # Errors
+/// It does not fit the tree; the sentence names the field.
+pub fn fits(told: &crate::told::Told) -> Result<(), String> {
+    let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
+    ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, frame, None).map(drop)
+}
+
+impl Opened {
+    pub fn mandate(&self) -> ironstair::Mandate {
+        self.started.mandate()
+    }
+
+    pub fn bands(&self) -> (Vec<Told>, Ms) {
+        self.started.bands()
+    }
+
+    /// Starts the thread; what it asks of the gateway's comes by the mailbox returned.
+    ///
+    /// # Errors
+    /// The thread can't be started.
+    pub fn start(
+        self,
+        name: &str,
+        clock: Clock,
+        log: Logger,
+        level: Least,
+    ) -> Result<Receiver<Request>, String> {
+        let (requests, asked) = async_channel::bounded(MAILBOX);
+        let on = self.bound.local_addr().map_err(|e| e.to_string())?;
+        info!(log, "management is served"; "on" => on);
+        let (name, said) = (name.to_string(), log.clone());
+        let serve = move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.map_err(|e| e.to_string())?;
+            let log = log.clone();
+            let (manager, desk) = Manager::new(self.started, &name, clock, self.window, requests, log, level);
+            let service = Service::new(desk, &name, self.streams);
+            runtime.block_on(async {
+                tokio::spawn(manager.run());
+                serve::plain(self.bound, service, std::future::pending()).await
+            })
+        };
+        let work = move || {
+            if let Err(why) = serve() {
+                error!(said, "management has ended"; "why" => why);
+            }
+        };
+        std::thread::Builder::new().name("management".into()).spawn(work).map_err(|e| e.to_string())?;
+        Ok(asked)
+    }
+}
+
+/// Carries what the management's thread asks to the module's mailbox.
+pub async fn carry(asked: Receiver<Request>, module: Sender<Event>) {
+    while let Ok(request) = asked.recv().await {
+        if module.send(Event::Asked(request)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -8,10 +8,14 @@
 use ironstair::{Listed, Ms, Outcome, Outlet, Submission};
 use ironstair_mail::pool::Chain;
 use ironstair_mail::wait::next;
+use ironstair_mail::window::{Amendment, Request, Window};
 use ironstair_mail::{Event, Forward, Id, Order, Place, Reply, Shared, Taken};
+use ironstair_tree::state::{self, Counts, Snapshot};
 use slog::info;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// What may lie in an engine's mailbox: beyond that nothing is sent there, and the module is told so.
 const MAILBOX: usize = 1024;
@@ -19,6 +23,7 @@
 struct Held {
     call: u64,
     band: usize,
+    at: Ms,
     limit: Ms,
     statement: Rc<Chain>,
     priority: Option<u8>,
@@ -32,6 +37,7 @@
     name: String,
     place: Place,
     orders: Sender<Order>,
+    connections: Rc<Cell<u32>>,
 }
 
 struct Hands {
@@ -44,6 +50,8 @@
     engines: Vec<Option<Known>>,
     wake: Option<Ms>,
     ends: Ms,
+    /// By band, since the start.
+    counts: Vec<Counts>,
 }
 
 impl Hands {
@@ -58,6 +66,7 @@
             engines: Vec::new(),
             wake: None,
             ends: Ms::INFINITY,
+            counts: Vec::new(),
         }
     }
 
@@ -76,12 +85,39 @@
         true
     }
 
+    fn count(&mut self, band: usize) -> &mut Counts {
+        if self.counts.len() <= band {
+            self.counts.resize(band + 1, Counts::default());
+        }
+        &mut self.counts[band]
+    }
+
+    /// Counts what becomes of a submission whose client still waits.
+    fn counted(&mut self, submission: usize, add: impl FnOnce(&mut Counts)) {
+        let waited = self.held(submission).filter(|h| h.client.is_some()).map(|h| h.band);
+        if let Some(band) = waited {
+            add(self.count(band));
+        }
+    }
+
     fn order(&self, engine: usize, order: Order) -> bool {
         let to = self.engines.get(engine).and_then(Option::as_ref);
         to.is_some_and(|e| e.orders.try_send(order).is_ok())
     }
 }
 
+impl Hands {
+    /// Settled, in time or not, its client still there.
+    fn settled(&mut self, submission: usize) {
+        let (now, bands) = (self.now, self.shared.bands());
+        let Some((band, at)) = self.held(submission).map(|h| (h.band, h.at)) else { return };
+        let late = bands.get(band).is_some_and(|b| now - at > b.expected);
+        let counts = self.count(band);
+        counts.settled += 1;
+        counts.late += late as u64;
+    }
+}
+
 impl Outlet for Hands {
     fn forward(&mut self, submission: usize, engine: usize) {
         let id = self.subs.id(submission);
@@ -90,6 +126,7 @@
         h.met.push(engine);
         let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
         let of = Forward { id, band, statement, priority, limit };
+        self.count(band).released += 1;
         if !self.order(engine, Order::Forward(of)) {
             // Nobody is there to tell how it ended.
             let ended = Event::Ended { id, what: Outcome::Unsent, rows: None };
@@ -113,9 +150,11 @@
         }
     }
     fn turn_back(&mut self, submission: usize, come_back: Ms) {
+        self.counted(submission, |c| c.turned_back += 1);
         self.answer(submission, |call| Reply::TurnedBack(call, come_back));
     }
     fn scrap(&mut self, submission: usize) {
+        self.counted(submission, |c| c.scrapped += 1);
         self.answer(submission, Reply::Scrapped);
     }
     fn subscribe(&mut self) {
@@ -144,7 +183,14 @@
     name.bytes().fold(0xCBF2_9CE4_8422_2325, |h, b| (h ^ b as u64).wrapping_mul(0x100_0000_01B3))
 }
 
-pub async fn decide(mut gateway: Gateway, shared: Rc<Shared>, events: Receiver<Event>) {
+/// Where to show what is known, and the names of zones and kinds.
+pub struct Shown {
+    pub window: Arc<Window>,
+    pub zones: Vec<Arc<str>>,
+    pub kinds: Vec<Arc<str>>,
+}
+
+pub async fn decide(mut gateway: Gateway, shared: Rc<Shared>, events: Receiver<Event>, shown: Option<Shown>) {
     let mut hands = Hands::new(shared);
     loop {
         let Ok(event) = next(&hands.shared.clock, &events, hands.wake).await else { return };
@@ -162,6 +208,8 @@
                 let own = |h: &&mut Held| h.client.as_ref().is_some_and(|c| c.same_channel(&client));
                 if let Some(h) = hands.held[s].as_mut().filter(own) {
                     h.client = None;
+                    let band = h.band;
+                    hands.count(band).left += 1;
                     gateway.left(now, s, &mut hands);
                 }
             }
@@ -171,6 +219,9 @@
                     h.engine = None;
                     h.client.is_some()
                 });
+                if open && rows.is_some() {
+                    hands.settled(s);
+                }
                 let settled = rows.is_some_and(|rows| hands.answer(s, |call| Reply::Settled(call, rows)));
                 gateway.outcome(now, s, what, settled || !open, &mut hands);
             }
@@ -180,8 +231,82 @@
                 gateway.ending(now, at, &mut hands);
             }
             Some(Event::Roster(lines)) => roster(&mut gateway, &mut hands, lines),
+            Some(Event::Asked(request)) => match (request, &shown) {
+                (Request::Show, Some(shown)) => show(&gateway, &mut hands, shown),
+                (Request::Amend(to), _) => amend(&mut gateway, &mut hands, *to),
+                (Request::Show, None) => {}
+            },
+        }
+    }
+}
+
+/// Other terms: what is open was taken under the old ones and is counted under its band's index.
+fn amend(gateway: &mut Gateway, hands: &mut Hands, to: Amendment) {
+    hands.shared.bands.replace(Rc::new(to.bands));
+    hands.shared.longest.set(to.longest);
+    gateway.amend(hands.now, to.mandate, hands);
+    let _ = to.done.try_send(());
+}
+
+/// Engines whose figures are as they were keep their entry, so that who reads finds quickly what has changed.
+fn show(gateway: &Gateway, hands: &mut Hands, shown: &Shown) {
+    let (window, shared) = (&shown.window, hands.shared.clone());
+    let was = window.latest();
+    let mut inflight = vec![0u32; hands.engines.len()];
+    hands.held.iter().flatten().filter_map(|h| h.engine).for_each(|e| inflight[e] += 1);
+    let named =
+        |names: &[Arc<str>], i: u16| names.get(i as usize).cloned().unwrap_or_else(|| "unknown".into());
+    let mut engines = was.engines.clone();
+    let listed: BTreeMap<&str, usize> = hands
+        .engines
+        .iter()
+        .enumerate()
+        .filter_map(|(i, e)| e.as_ref().map(|e| (e.name.as_str(), i)))
+        .collect();
+    let gone = was.engines.keys().filter(|name| !listed.contains_key(&***name));
+    gone.for_each(|name| drop(engines.remove(name)));
+    for (name, i) in listed {
+        let (Some(e), Some(view)) = (&hands.engines[i], gateway.engine_view(i)) else { continue };
+        let is = state::Engine {
+            id: hands.names.id(i),
+            address: e.place.address.to_string(),
+            zone: named(&shown.zones, e.place.zone),
+            kind: named(&shown.kinds, e.place.kind),
+            cell: e.place.cell,
+            since: e.place.since,
+            inflight: inflight[i],
+            connections: e.connections.get(),
+            view,
+        };
+        if engines.get(name) != Some(&is) {
+            engines.insert(name.into(), is);
         }
     }
+    let told = shared.bands();
+    let bands = told.iter().enumerate().map(|(b, t)| state::Band {
+        name: t.name.clone(),
+        in_service: t.in_service,
+        counts: *hands.count(b),
+        view: gateway.band_view(b).unwrap_or_default(),
+    });
+    let bands = bands.collect();
+    let (lent, most) = shared.pool.lent();
+    let view = Snapshot {
+        at: hands.now,
+        engines,
+        bands,
+        source: shared.gauges.source.borrow().clone(),
+        serial: shared.gauges.serial.get(),
+        heard: shared.gauges.heard.get(),
+        connections: shared.gauges.connections.get(),
+        connections_most: shared.gauges.connections_most.get(),
+        open: hands.open as u32,
+        lent: lent as u32,
+        buffers_most: most as u32,
+        started: shared.clock.started(),
+        ending: hands.ends.is_finite(),
+    };
+    window.show(view);
 }
 
 fn take(gateway: &mut Gateway, hands: &mut Hands, t: Taken) {
@@ -201,9 +326,11 @@
         hands.held.resize_with(s + 1, || None);
     }
     let limit = (t.at + t.of.left).min(hands.ends);
+    hands.count(t.of.band).taken += 1;
     hands.held[s] = Some(Held {
         call: t.call,
         band: t.of.band,
+        at: t.at,
         limit,
         statement: Rc::new(t.statement),
         priority: None,
@@ -248,9 +375,11 @@
         }
         info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
         let (orders, mailbox) = async_channel::bounded(MAILBOX);
-        let actor = Engine::new(engine, address, hands.shared.clone(), orders.clone());
+        let connections: Rc<Cell<u32>> = Rc::default();
+        let (shared, own) = (hands.shared.clone(), orders.clone());
+        let actor = Engine::new(engine, address, shared, own, connections.clone());
         hands.shared.executor.spawn(actor.run(mailbox)).detach();
-        *known = Some(Known { name, place, orders });
+        *known = Some(Known { name, place, orders, connections });
     }
     gateway.roster(hands.now, true, &listed, hands);
 }
@@ -263,7 +392,6 @@
     use ironstair_mail::pool::Pool;
     use ironstair_mandate::Carriage;
     use slog::{o, Discard, Logger};
-    use std::cell::Cell;
 
     #[test]
     fn an_event_that_overtakes_a_wake_up_does_not_leave_the_next_one_out() {
@@ -274,8 +402,9 @@
         let shared = Rc::new(Shared {
             clock: Clock::start(),
             pool: Pool::of(1 << 16),
-            bands: Vec::new(),
-            expected: Vec::new(),
+            bands: Default::default(),
+            longest: Cell::new(5000.0),
+            gauges: Default::default(),
             carriage: Carriage { connect_within, idle, streams, most_open, longest, reports },
             links_most: 8,
             listed: Cell::new(0),
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -18,6 +18,8 @@
     taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
     nth: Cell<u64>,
     bell: Bell,
+    /// How many are taken, for who looks on.
+    count: Rc<Cell<u32>>,
 }
 
 /// What is known of a connection here.
@@ -40,9 +42,17 @@
 }
 
 impl Places {
-    pub fn new(most: usize) -> Rc<Self> {
+    pub fn new(most: usize, count: Rc<Cell<u32>>) -> Rc<Self> {
         let (begun, closing, taken) = (Cell::new(false), Cell::new(false), RefCell::default());
-        Rc::new(Places { most: most.max(1), begun, closing, taken, nth: Cell::new(0), bell: Bell::new() })
+        Rc::new(Places {
+            most: most.max(1),
+            begun,
+            closing,
+            taken,
+            nth: Cell::new(0),
+            bell: Bell::new(),
+            count,
+        })
     }
 
     /// The end has been announced.
@@ -97,6 +107,7 @@
         let (quiet, answered, leave) = (Cell::new(now), Cell::new(false), Cell::new(self.closing.get()));
         let seat = Rc::new(Seat { since: now, quiet, answered, leave, bell: Bell::new() });
         self.taken.borrow_mut().insert(nth, seat.clone());
+        self.count.set(self.taken.borrow().len() as u32);
         Place { of: self.clone(), seat, nth }
     }
 }
@@ -104,6 +115,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.of.taken.borrow_mut().remove(&self.nth);
+        self.of.count.set(self.of.taken.borrow().len() as u32);
         self.of.bell.notify(usize::MAX);
     }
 }
@@ -151,7 +163,7 @@
 
     #[test]
     fn who_never_spoke_leaves_first_then_who_is_quiet_longest_and_nobody_with_an_open_call() {
-        let (places, clock) = (Places::new(4), Clock::start());
+        let (places, clock) = (Places::new(4, Rc::default()), Clock::start());
         let take = || poll_once(places.take(&clock));
         let mut held: Vec<Place> = (0..4).filter_map(|_| block_on(take())).collect();
         held[0].busy();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,10 +1,11 @@
 //! Start and drain.
 
 use crate::list::{List, Moved};
-use crate::module::decide;
+use crate::module::{decide, Shown};
+use crate::operator::Operator;
 use crate::places::Places;
 use crate::told::{self, Told};
-use crate::{client, log};
+use crate::{client, log, management};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{block_on, Async, Timer};
@@ -14,9 +15,9 @@
 use ironstair::logic::Gateway;
 use ironstair_mail::clock::{span, Clock};
 use ironstair_mail::pool::Pool;
-use ironstair_mail::{Event, Shared};
+use ironstair_mail::{window, Event, Gauges, Shared};
 use slog::{info, warn};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -35,7 +36,7 @@
 
 /// How long after the word to end every submission is to have its answer.
 fn left(shared: &Shared) -> f64 {
-    shared.carriage.longest.min(AT_MOST) + KILLED_AFTER - LAST_WORDS
+    shared.longest.get().min(AT_MOST) + KILLED_AFTER - LAST_WORDS
 }
 
 /// What signals say, for as long as the process lives: also in a drain, none of them ends it at once.
@@ -65,21 +66,33 @@
     }
 }
 
-pub fn serve(path: &Path) -> Result<(), String> {
+pub fn serve(path: &Path, operator: Option<Operator>, form: log::Form) -> Result<(), String> {
     let told = told::read(path)?;
-    let (log, _guard) = log::open(&told.name);
+    let management = operator.as_ref().and_then(|o| o.management.as_ref());
+    let management = management.map(|m| management::open(m, &told)).transpose()?;
+    let (log, _guard, level) = log::open(&told.name, form);
     let executor = Rc::new(LocalExecutor::new());
     let (module, events) = async_channel::bounded(MAILBOX);
-    let expected = told.mandate.bands.iter().map(|b| b.expected).collect();
-    let gateway = Gateway::new(told.mandate, told.seed);
+    // What was set before the last end comes before what is told.
+    let (mandate, (bands, longest)) = match &management {
+        Some(m) => (m.mandate(), m.bands()),
+        None => {
+            let bands = told.bands.iter().cloned().zip(&told.mandate.bands);
+            let bands = bands.map(|(name, b)| window::Told { name, expected: b.expected, in_service: true });
+            let bands = bands.collect();
+            (told.mandate, (bands, told.carriage.longest))
+        }
+    };
+    let gateway = Gateway::new(mandate, told.seed);
     let shared = Rc::new(Shared {
         clock: Clock::start(),
         // A third: what else there is grows with it, statements joined and answers being written.
         pool: Pool::of((told.memory_mb * 1e6 / 3.0) as usize),
         links_most: told.descriptors / 4,
         listed: Cell::new(0),
-        bands: told.bands,
-        expected,
+        bands: RefCell::new(Rc::new(bands)),
+        longest: Cell::new(longest),
+        gauges: Gauges::default(),
         carriage: told.carriage,
         log: log.clone(),
         module: module.clone(),
@@ -91,12 +104,24 @@
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
         let signals = signals.map_err(|e| fault("signals", e))?;
         module.try_send(Event::Roster(told.known)).map_err(|e| e.to_string())?;
-        executor.spawn(decide(gateway, shared.clone(), events)).detach();
+        let shown = management.as_ref().map(|m| Shown {
+            window: m.window.clone(),
+            zones: told.index.zones.iter().map(|n| n.as_str().into()).collect(),
+            kinds: told.index.kinds.iter().map(|n| n.as_str().into()).collect(),
+        });
+        executor.spawn(decide(gateway, shared.clone(), events, shown)).detach();
+        if let Some(m) = management {
+            let asked = m.start(&told.name, shared.clock, log.clone(), level)?;
+            executor.spawn(management::carry(asked, module.clone())).detach();
+        }
         let (from, names, index, rev) = (told.listen.ip(), told.names, told.index, told.rev);
         let (moves, moved) = async_channel::bounded(1);
-        executor.spawn(List { from, names, index, rev, module, log: log.clone() }.follow(moved)).detach();
+        let list = List { from, names, index, rev, module, log: log.clone(), shared: shared.clone() };
+        executor.spawn(list.follow(moved)).detach();
         // Clients keep to a third of the descriptors.
-        let places = Places::new(told.descriptors / 2);
+        shared.gauges.serial.set(told.rev);
+        shared.gauges.connections_most.set((told.descriptors / 2) as u32);
+        let places = Places::new(told.descriptors / 2, shared.gauges.connections.clone());
         executor.spawn(heed(signals, path.into(), moves, places.clone(), shared.clone())).detach();
         info!(log, "serving"; "on" => told.listen);
 
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -1,8 +1,8 @@
 //! What a gateway is told at start, decoded once.
 
-use ironstair::{Mandate, Standing};
+use ironstair::{Mandate, Ms, Standing};
 use ironstair_mail::Place;
-use ironstair_mandate::{bands, carriage, kinds, mandate, word, zones, Carriage};
+use ironstair_mandate::{bands, carriage, kinds, limits, mandate, word, zones, Carriage};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,8 +14,8 @@
 
 /// The names under which zones and kinds of machine come; the decisions know them by index.
 pub struct Index {
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
 }
 
 impl Index {
@@ -42,6 +42,8 @@
     pub mandate: Mandate,
     pub carriage: Carriage,
     pub bands: Vec<String>,
+    /// The bands' hard limits.
+    pub limits: Vec<Ms>,
     pub index: Index,
     /// The roster up to now, and the number of its last change.
     pub known: BTreeMap<String, Place>,
@@ -78,6 +80,7 @@
         mandate: mandate(settings).map_err(|e| format!("settings: {e}"))?,
         carriage: carriage(settings).map_err(|e| format!("settings: {e}"))?,
         bands: bands(settings).map_err(|e| format!("settings: {e}"))?,
+        limits: limits(settings).map_err(|e| format!("settings: {e}"))?,
         index,
         known,
         rev: v["known"]["rev"].as_u64().unwrap_or(0) as u32,
--- /dev/null
+++ b/crates/gnmi/src/lib.rs
@@ -0,0 +1,25 @@
+//! gNMI before a gateway's tree.
+//!
+//! [`service`] answers Capabilities, Get and Set, [`subscribe`] streams; [`follow`] decides what a subscriber is sent
+//! and when it is cut off, and [`masters`] who of several may change, both without input or output.
+
+pub mod follow;
+pub mod masters;
+pub mod serve;
+pub mod service;
+pub mod subscribe;
+mod words;
+
+pub use serve::{bind, Bounds};
+pub use service::{Service, Who};
+
+/// The messages and the service, from `proto/`.
+pub mod proto {
+    #![allow(clippy::all, missing_docs)]
+    pub mod gnmi {
+        tonic::include_proto!("gnmi");
+    }
+    pub mod gnmi_ext {
+        tonic::include_proto!("gnmi_ext");
+    }
+}
--- a/crates/mail/src/clock.rs
+++ b/crates/mail/src/clock.rs
@@ -15,6 +15,11 @@
         Clock { started: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
     }
 
+    /// When it was started.
+    pub fn started(&self) -> Ms {
+        self.unix
+    }
+
     pub fn now(&self) -> Ms {
         self.of(Instant::now())
     }
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod pool;
 pub mod wait;
+pub mod window;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -12,10 +13,11 @@
 use ironstair_mandate::Carriage;
 use pool::{Buffer, Chain, Pool};
 use slog::Logger;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use window::{Request, Told};
 
 /// A submission's id as its client wrote it.
 pub type Id = [u8; 16];
@@ -36,6 +38,8 @@
     Roster(BTreeMap<String, Place>),
     /// By then the process is to have ended.
     Ending(Ms),
+    /// From outside the gateway's thread.
+    Asked(Request),
 }
 
 /// A submission from a front.
@@ -96,21 +100,39 @@
 pub struct Shared {
     pub clock: Clock,
     pub pool: Rc<Pool>,
-    pub bands: Vec<String>,
-    /// The bands' expected times.
-    pub expected: Vec<Ms>,
+    /// The bands by the module's index; replaced whole when they are amended.
+    pub bands: RefCell<Rc<Vec<Told>>>,
+    /// The longest hard limit.
+    pub longest: Cell<Ms>,
     pub carriage: Carriage,
     /// Connections to all engines, and how many engines there are.
     pub links_most: usize,
     pub listed: Cell<usize>,
+    pub gauges: Gauges,
     pub log: Logger,
     pub module: Sender<Event>,
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
+/// What actors know that others only show.
+#[derive(Default)]
+pub struct Gauges {
+    /// Clients' connections.
+    pub connections: Rc<Cell<u32>>,
+    pub connections_most: Cell<u32>,
+    /// Where the list of engines comes from, the number of its last change, and when it was last heard.
+    pub source: RefCell<String>,
+    pub serial: Cell<u32>,
+    pub heard: Cell<Ms>,
+}
+
 impl Shared {
+    pub fn bands(&self) -> Rc<Vec<Told>> {
+        self.bands.borrow().clone()
+    }
+
     /// More work than any client or engine means to tell.
     pub fn work_most(&self) -> Ms {
-        WORK_MOST * self.carriage.longest
+        WORK_MOST * self.longest.get()
     }
 }
--- a/crates/mail/src/pool.rs
+++ b/crates/mail/src/pool.rs
@@ -30,6 +30,11 @@
         Rc::new(Pool { most, free: RefCell::default(), lent: Cell::new(0), back: Event::new() })
     }
 
+    /// How many are lent, and the most that may be.
+    pub fn lent(&self) -> (usize, usize) {
+        (self.lent.get(), self.most)
+    }
+
     /// A buffer for what is under way; none when all are lent.
     pub fn lend(self: &Rc<Self>) -> Option<Buffer> {
         (self.lent.get() < self.most).then(|| {
--- /dev/null
+++ b/crates/manage/src/desk.rs
@@ -0,0 +1,375 @@
+//! The manager's actor, and the desk at which others ask it.
+
+use crate::file::Journal;
+use crate::start::{bands, Started};
+use async_channel::Sender as Requests;
+use ironstair::Ms;
+use ironstair_change::document::Level;
+use ironstair_change::journal::{Kept, Record};
+use ironstair_change::plan::{plan, Origin, Roll};
+use ironstair_change::revisions::{Action, Ask, Input, Ledger, Refusal};
+use ironstair_change::Document;
+use ironstair_mail::clock::{span, Clock};
+use ironstair_mail::window::{Amendment, Request, Window};
+use ironstair_tree::state::{self, Snapshot};
+use ironstair_tree::{Edit, Leaves, Path, Schema};
+use slog::{info, warn, Logger};
+use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+/// Asks that may wait at the desk.
+const MAILBOX: usize = 64;
+/// While somebody watches, the gateway's thread is asked this often; and no view is taken twice within the second.
+const LOOK_EVERY: Ms = 100.0;
+const LOOK_AGAIN: Ms = 20.0;
+/// How long a view or a change may take the gateway's thread before that is said.
+const LOOK_WITHIN: Ms = 1000.0;
+const AMEND_WITHIN: Ms = 5000.0;
+
+/// Settings and state at one moment.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    /// Unix time in ms.
+    pub at: Ms,
+    pub leaves: Leaves,
+}
+
+/// Why a change was not made.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refused {
+    /// A path or value is wrong: a sentence for each, which names the path.
+    Wrong(Vec<String>),
+    /// The settings can't be changed as things stand.
+    Not(Refusal),
+    /// The gateway is about to end.
+    Ending,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Refused::Wrong(all) => f.write_str(&all.join("; ")),
+            Refused::Not(Refusal::Unconfirmed { number, id }) => {
+                write!(f, "revision {number} waits to be confirmed under {id:?}: confirm or cancel it first")
+            }
+            Refused::Not(Refusal::NoSuchCommit { id }) => {
+                write!(
+                    f,
+                    "nothing waits to be confirmed under {id:?}: it was confirmed or taken back already"
+                )
+            }
+            Refused::Not(Refusal::NotKept { why }) => {
+                write!(f, "the change can't be kept, and was not made: {why}")
+            }
+            Refused::Not(Refusal::Busy) => f.write_str("another change is being made"),
+            Refused::Ending => f.write_str("the gateway is about to end"),
+        }
+    }
+}
+
+type Answer = oneshot::Sender<Result<u64, Refused>>;
+
+enum Order {
+    Look(oneshot::Sender<Arc<Tree>>),
+    Set { edits: Vec<Edit>, who: String, what: String, commit: Option<(String, Ms)>, answer: Answer },
+    Ask(Ask<Document>, Answer),
+}
+
+/// Where the tree is read and changed; cloned for each who does.
+#[derive(Clone)]
+pub struct Desk {
+    schema: Arc<Schema>,
+    orders: mpsc::Sender<Order>,
+    trees: watch::Receiver<Arc<Tree>>,
+    watching: Arc<AtomicUsize>,
+}
+
+/// The tree as it changes, for as long as this is held.
+pub struct Watch {
+    pub trees: watch::Receiver<Arc<Tree>>,
+    watching: Arc<AtomicUsize>,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.watching.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Desk {
+    pub fn schema(&self) -> &Schema {
+        &self.schema
+    }
+
+    /// The tree as it is now, or as it was last seen where the gateway's thread does not answer.
+    pub async fn look(&self) -> Arc<Tree> {
+        let (tell, told) = oneshot::channel();
+        let asked = self.orders.send(Order::Look(tell)).await.is_ok();
+        match told.await {
+            Ok(tree) if asked => tree,
+            _ => self.trees.borrow().clone(),
+        }
+    }
+
+    pub fn watch(&self) -> Watch {
+        self.watching.fetch_add(1, Ordering::Relaxed);
+        Watch { trees: self.trees.clone(), watching: self.watching.clone() }
+    }
+
+    /// Changes the settings, for good or until confirmed; the number of the revision that runs then.
+    ///
+    /// # Errors
+    /// Nothing was changed, and why.
+    pub async fn set(
+        &self,
+        edits: Vec<Edit>,
+        who: String,
+        what: String,
+        commit: Option<(String, Ms)>,
+    ) -> Result<u64, Refused> {
+        let (answer, told) = oneshot::channel();
+        let order = Order::Set { edits, who, what, commit, answer };
+        self.orders.send(order).await.map_err(|_| Refused::Ending)?;
+        told.await.unwrap_or(Err(Refused::Ending))
+    }
+
+    /// Confirms, cancels or extends what waits to be confirmed.
+    ///
+    /// # Errors
+    /// Nothing of the kind waits, or the disk did not take it.
+    pub async fn ask(&self, ask: Ask<Document>) -> Result<u64, Refused> {
+        let (answer, told) = oneshot::channel();
+        self.orders.send(Order::Ask(ask, answer)).await.map_err(|_| Refused::Ending)?;
+        told.await.unwrap_or(Err(Refused::Ending))
+    }
+}
+
+/// The actor.
+pub struct Manager {
+    schema: Arc<Schema>,
+    origin: Origin,
+    ledger: Ledger<Document>,
+    told: Document,
+    roll: Roll,
+    journal: Option<Journal>,
+    leaves: Leaves,
+    was: Arc<Snapshot>,
+    looked: Ms,
+    clock: Clock,
+    window: Arc<Window>,
+    requests: Requests<Request>,
+    log: Logger,
+    level: Arc<AtomicUsize>,
+    orders: mpsc::Receiver<Order>,
+    trees: watch::Sender<Arc<Tree>>,
+    watching: Arc<AtomicUsize>,
+}
+
+impl Manager {
+    /// `level` is the log's, by slog's numbers.
+    pub fn new(
+        from: Started,
+        name: &str,
+        clock: Clock,
+        window: Arc<Window>,
+        requests: Requests<Request>,
+        log: Logger,
+        level: Arc<AtomicUsize>,
+    ) -> (Manager, Desk) {
+        let Started { schema, origin, ledger, told, roll, leaves, journal, notes } = from;
+        notes.iter().for_each(|n| info!(log, "{}", n));
+        let leaves = leaves.union(state::process(name, env!("CARGO_PKG_VERSION")));
+        let leaves = state::revisions(&leaves, ledger.lines().iter());
+        let (schema, watching) = (Arc::new(schema), Arc::new(AtomicUsize::new(0)));
+        let (tell, orders) = mpsc::channel(MAILBOX);
+        let first = Arc::new(Tree { at: clock.now(), leaves: leaves.clone() });
+        let (trees, seen) = watch::channel(first);
+        let desk = Desk { schema: schema.clone(), orders: tell, trees: seen, watching: watching.clone() };
+        let manager = Manager {
+            schema,
+            origin,
+            ledger,
+            told,
+            roll,
+            journal,
+            leaves,
+            was: Arc::new(Snapshot::default()),
+            looked: 0.0,
+            clock,
+            window,
+            requests,
+            log,
+            level,
+            orders,
+            trees,
+            watching,
+        };
+        manager.set_level();
+        (manager, desk)
+    }
+
+    /// Until every desk is gone.
+    pub async fn run(mut self) {
+        loop {
+            let now = self.clock.now();
+            let due = self.ledger.due().map_or(Ms::INFINITY, |d| d - now);
+            let look = match self.watching.load(Ordering::Relaxed) {
+                0 => Ms::INFINITY,
+                _ => (self.looked + LOOK_EVERY - now).max(0.0),
+            };
+            // Who begins to watch asks for the tree first, and so is heard here.
+            let order = tokio::select! {
+                order = self.orders.recv() => order,
+                () = sleep(span(due.min(look))) => {
+                    if due <= look {
+                        let _ = self.hand(Input::Due).await;
+                    } else {
+                        self.look().await;
+                    }
+                    continue;
+                }
+            };
+            match order {
+                None => return,
+                Some(Order::Look(tell)) => {
+                    if self.clock.now() - self.looked >= LOOK_AGAIN {
+                        self.look().await;
+                    }
+                    let _ = tell.send(self.trees.borrow().clone());
+                }
+                Some(Order::Set { edits, who, what, commit, answer }) => {
+                    let how = match self.candidate(&edits) {
+                        Err(wrong) => Err(Refused::Wrong(wrong)),
+                        Ok(document) => {
+                            self.hand(Input::Asked(Ask::Set { who, what, document, commit })).await
+                        }
+                    };
+                    let _ = answer.send(how);
+                }
+                Some(Order::Ask(ask, answer)) => {
+                    let how = self.hand(Input::Asked(ask)).await;
+                    let _ = answer.send(how);
+                }
+            }
+        }
+    }
+
+    /// The document that a change comes to, checked whole.
+    fn candidate(&self, edits: &[Edit]) -> Result<Document, Vec<String>> {
+        let new = self.schema.edit(&self.leaves, edits).map_err(|m| vec![m.to_string()])?;
+        let document = self.schema.document(&new);
+        let document = document.map_err(|all| all.iter().map(|m| m.to_string()).collect::<Vec<_>>())?;
+        match plan(self.ledger.running(), &document, &self.roll, &self.origin.frame) {
+            Ok(_) => Ok(document),
+            Err(faults) => Err(faults.iter().map(|f| f.to_string()).collect()),
+        }
+    }
+
+    /// Hands one input to the ledger and carries out what it asks for, up to its answer.
+    async fn hand(&mut self, input: Input<Document>) -> Result<u64, Refused> {
+        let mut inputs = vec![input];
+        let mut answer = Ok(self.ledger.number());
+        while let Some(input) = inputs.pop() {
+            for action in self.ledger.on(self.clock.now(), input) {
+                match action {
+                    Action::Write(record) => inputs.push(Input::Written(self.write(record).await)),
+                    Action::Note(record) => {
+                        if let Err(why) = self.write(record).await {
+                            warn!(self.log, "a change taken back could not be noted"; "why" => why);
+                        }
+                    }
+                    Action::Apply { number, document } => self.apply(number, document).await,
+                    Action::Answer(how) => answer = how.map_err(Refused::Not),
+                }
+            }
+        }
+        self.leaves = state::revisions(&self.leaves, self.ledger.lines().iter());
+        self.publish();
+        answer
+    }
+
+    /// On a thread of its own: a slow disk holds up nobody who reads.
+    async fn write(&mut self, record: Record<Document>) -> Result<(), String> {
+        let Some(mut journal) = self.journal.take() else { return Err("no journal".into()) };
+        // Not while one waits to be confirmed: what is written anew would not hold it.
+        let anew = journal.wants_anew() && self.ledger.trial().is_none();
+        let kept = anew.then(|| self.kept());
+        let work = tokio::task::spawn_blocking(move || {
+            let how = match kept {
+                Some(kept) => journal.anew(&kept).and_then(|()| journal.append(&record)),
+                None => journal.append(&record),
+            };
+            (journal, how)
+        });
+        let (journal, how) = work.await.map_err(|e| e.to_string())?;
+        self.journal = Some(journal);
+        how
+    }
+
+    /// All that a start needs. An unconfirmed one is left out: its time has no meaning for another process.
+    fn kept(&self) -> Kept<Document> {
+        let (number, running, lines) = self.ledger.firm();
+        let next = self.ledger.next();
+        Kept { told: self.told.clone(), running, number, next, lines }
+    }
+
+    async fn apply(&mut self, number: u64, document: Document) {
+        let settings = match self.schema.settings(&document) {
+            Ok(settings) => settings,
+            // Checked before it came to this.
+            Err(m) => return warn!(self.log, "the settings do not fit the tree"; "why" => %m),
+        };
+        if let Ok(p) = plan(&document, &document, &self.roll, &self.origin.frame) {
+            self.roll = p.roll;
+        }
+        let mandate = self.origin.mandate(&document, &self.roll);
+        let (bands, longest) = bands(&self.roll, &document, &mandate);
+        let (done, told) = async_channel::bounded(1);
+        let amendment = Amendment { mandate, bands, longest, done };
+        if self.requests.send(Request::Amend(Box::new(amendment))).await.is_ok()
+            && timeout(span(AMEND_WITHIN), told.recv()).await.is_err()
+        {
+            warn!(self.log, "the gateway's thread is slow to take over the settings"; "revision" => number);
+        }
+        let root = Path::root().child(&"settings".into(), None);
+        let old = self.leaves.range(root.clone()..).take_while(|(p, _)| p.starts_with(&root));
+        let old: Vec<Path> = old.map(|(p, _)| p.clone()).collect();
+        old.iter().for_each(|p| drop(self.leaves.remove(p)));
+        settings.into_iter().for_each(|(path, value)| drop(self.leaves.insert(path, value)));
+        // What is read after a change is of after it.
+        self.looked = 0.0;
+        self.set_level();
+        info!(self.log, "settings changed"; "revision" => number);
+    }
+
+    fn set_level(&self) {
+        let level = match self.ledger.running().log.level {
+            Level::Error => slog::Level::Error,
+            Level::Warning => slog::Level::Warning,
+            Level::Info => slog::Level::Info,
+            Level::Debug => slog::Level::Debug,
+        };
+        self.level.store(level.as_usize(), Ordering::Relaxed);
+    }
+
+    async fn look(&mut self) {
+        self.looked = self.clock.now();
+        let waiting = self.window.waiting();
+        let asked = self.requests.send(Request::Show).await.is_ok();
+        if !asked || timeout(span(LOOK_WITHIN), waiting).await.is_err() {
+            warn!(self.log, "the gateway's thread shows nothing");
+        }
+        let is = self.window.latest();
+        self.leaves = state::update(&self.leaves, &self.was, &is);
+        self.was = is;
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let at = if self.was.at > 0.0 { self.was.at } else { self.clock.now() };
+        self.trees.send_replace(Arc::new(Tree { at, leaves: self.leaves.clone() }));
+    }
+}
--- /dev/null
+++ b/crates/manage/src/lib.rs
@@ -0,0 +1,10 @@
+//! The manager: an actor with one mailbox, the one owner of a gateway's revisions, of the journal they are kept in
+//! and of the tree that is read. It decides nothing: `ironstair-change` does.
+
+mod desk;
+mod file;
+mod start;
+
+pub use desk::{Desk, Manager, Refused, Tree, Watch};
+pub use file::Journal;
+pub use start::{open, Started};
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -101,6 +101,11 @@
     })
 }
 
+/// The bands' hard limits, in the order of the bands.
+pub fn limits(v: &Value) -> Result<Vec<Ms>, String> {
+    list(v, "classes")?.iter().map(|c| time(c, "give_up_ns")).collect()
+}
+
 /// The names that a protocol uses for what the decisions know by index.
 pub fn bands(v: &Value) -> Result<Vec<String>, String> {
     list(v, "classes")?.iter().map(|c| word(c, "name").map(String::from)).collect()
--- a/crates/tree/src/schema.rs
+++ b/crates/tree/src/schema.rs
@@ -91,6 +91,8 @@
     pub presence: bool,
     pub entries: (usize, usize),
     pub units: Option<String>,
+    /// The type as the leaf names it, a typedef of the module or one of YANG's own.
+    pub typedef: Option<String>,
     pub inner: Vec<Node>,
 }
 
@@ -131,6 +133,7 @@
             presence: false,
             entries: (0, usize::MAX),
             units: None,
+            typedef: None,
             inner: inner.collect::<Result<_, _>>()?,
         };
         let revision = module.arg("revision").ok_or("the module has no revision")?.to_string();
@@ -360,6 +363,7 @@
         presence: s.one("presence").is_some(),
         entries: (count("min-elements", 0)?, count("max-elements", usize::MAX)?),
         units: s.arg("units").map(String::from),
+        typedef: s.arg("type").map(String::from),
         inner: inner.collect::<Result<_, _>>()?,
     }))
 }
