TLS with client certificates, roles and keys replaced in service for management

Need: management beyond loopback. rustls with ring; connections are made known each in a task of its own, bounded in number and time; who a client is comes from the names in its certificate, what it may do from the operator's file. Files are read anew when they change and at SIGHUP; bad ones leave the old keys in force with one log line, and open connections go on.

--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -1,10 +1,12 @@
 //! Management on a thread of its own: a busy reader costs the gateway's thread no more than the view it asks for.
 
 use crate::log::Least;
-use crate::operator::Management;
+use crate::operator::{Management, Tls};
 use async_channel::{Receiver, Sender};
 use ironstair::Ms;
-use ironstair_gnmi::{serve, Service};
+use ironstair_gnmi::keys::Files;
+use ironstair_gnmi::serve::{self, Keys};
+use ironstair_gnmi::Service;
 use ironstair_mail::clock::Clock;
 use ironstair_mail::window::{Request, Told, Window};
 use ironstair_mail::Event;
@@ -16,11 +18,15 @@
 /// What may wait for the gateway's thread.
 const MAILBOX: usize = 16;
 
+/// Asks for the keys to be read anew.
+pub type Renew = tokio::sync::mpsc::Sender<()>;
+
 /// Opened before anything serves; started once the gateway's thread runs.
 pub struct Opened {
     started: Started,
     bound: TcpListener,
     streams: usize,
+    keys: Option<Arc<Keys>>,
     pub window: Arc<Window>,
 }
 
@@ -32,7 +38,20 @@
     let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
     let (mandate, state) = (told.mandate.clone(), m.state.as_deref());
     let started = ironstair_manage::open(mandate, &told.bands, &told.limits, frame, state)?;
-    Ok(Opened { started, bound: serve::bind(m.listen)?, streams: m.streams, window: Arc::default() })
+    let keys = m.tls.as_ref().map(|t| Keys::open(files(t))).transpose();
+    let keys = keys.map_err(|why| format!("management.tls: {why}"))?;
+    let (bound, streams) = (serve::bind(m.listen)?, m.streams);
+    Ok(Opened { started, bound, streams, keys, window: Arc::default() })
+}
+
+fn files(t: &Tls) -> Files {
+    Files {
+        certificate: t.certificate.clone(),
+        key: t.key.clone(),
+        clients: t.clients.clone(),
+        change: t.change.clone(),
+        read: t.read.clone(),
+    }
 }
 
 /// Whether what is told can be shown and set.
@@ -53,7 +72,8 @@
         self.started.bands()
     }
 
-    /// Starts the thread; what it asks of the gateway's comes by the mailbox returned.
+    /// Starts the thread; what it asks of the gateway's comes by the mailbox returned, and the sender asks it to
+    /// read its keys anew.
     ///
     /// # Errors
     /// The thread can't be started.
@@ -63,20 +83,21 @@
         clock: Clock,
         log: Logger,
         level: Least,
-    ) -> Result<Receiver<Request>, String> {
+    ) -> Result<(Receiver<Request>, Renew), String> {
         let (requests, asked) = async_channel::bounded(MAILBOX);
+        let (renew, word) = tokio::sync::mpsc::channel(1);
         let on = self.bound.local_addr().map_err(|e| e.to_string())?;
         info!(log, "management is served"; "on" => on);
         let (name, said) = (name.to_string(), log.clone());
         let serve = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| e.to_string())?;
-            let log = log.clone();
-            let (manager, desk) = Manager::new(self.started, &name, clock, self.window, requests, log, level);
+            let (manager, desk) =
+                Manager::new(self.started, &name, clock, self.window, requests, log.clone(), level);
             let service = Service::new(desk, &name, self.streams);
             runtime.block_on(async {
                 tokio::spawn(manager.run());
-                serve::plain(self.bound, service, std::future::pending()).await
+                serve::serve(self.bound, service, self.keys, word, log).await
             })
         };
         let work = move || {
@@ -85,7 +106,7 @@
             }
         };
         std::thread::Builder::new().name("management".into()).spawn(work).map_err(|e| e.to_string())?;
-        Ok(asked)
+        Ok((asked, renew))
     }
 }
 
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -25,6 +25,26 @@
     #[serde(default = "streams")]
     #[schemars(range(min = 1, max = 10000))]
     pub streams: usize,
+    /// Keys and who may do what; without it the listener is of the loopback, and open to all there.
+    pub tls: Option<Tls>,
+}
+
+/// Keys, read anew when their files change and at SIGHUP, and roles by the names in clients' certificates.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// The gateway's certificate with what leads to its authority, as PEM.
+    pub certificate: PathBuf,
+    /// The key of that, as PEM.
+    pub key: PathBuf,
+    /// The authority of clients' certificates, as PEM.
+    pub clients: PathBuf,
+    /// Names that may change settings, and read; * at the end stands for any more.
+    #[serde(default)]
+    pub change: Vec<String>,
+    /// Names that may read.
+    #[serde(default)]
+    pub read: Vec<String>,
 }
 
 fn streams() -> usize {
@@ -49,12 +69,15 @@
     })?;
     reader.end().map_err(|e| e.to_string())?;
     if let Some(m) = &found.management {
-        if !m.listen.ip().is_loopback() {
+        if m.tls.is_none() && !m.listen.ip().is_loopback() {
             return Err(format!(
                 "management.listen: without TLS it must be of the loopback, not {}",
                 m.listen
             ));
         }
+        if m.tls.as_ref().is_some_and(|t| t.change.is_empty() && t.read.is_empty()) {
+            return Err("management.tls: neither change nor read names anybody".into());
+        }
         if !(1..=10_000).contains(&m.streams) {
             return Err(format!("management.streams: {} is outside 1 to 10000", m.streams));
         }
@@ -91,6 +114,14 @@
             (r#"{"management": {"listen": "0.0.0.0:1"}}"#, "management.listen: without TLS"),
             (r#"{"management": {"listen": "[::1]:1", "streams": 0}}"#, "management.streams: 0"),
             (r#"{"management": {"listen": "[::1]:1", "state": 1}}"#, "management.state: invalid type"),
+            (
+                r#"{"management": {"listen": "[::1]:1", "tls": {}}}"#,
+                "management.tls: missing field `certificate`",
+            ),
+            (
+                r#"{"management": {"listen": "0.0.0.0:1", "tls": {"certificate": "", "key": "", "clients": ""}}}"#,
+                "management.tls: neither",
+            ),
             ("{} {}", "trailing characters"),
         ] {
             let told = decode(text.as_bytes()).unwrap_err();
@@ -101,7 +132,7 @@
     #[test]
     fn the_schema_names_every_field() {
         let schema = schema();
-        for field in ["management", "listen", "state", "streams"] {
+        for field in ["management", "listen", "state", "streams", "tls", "change", "read", "clients"] {
             assert!(schema.contains(&format!("\"{field}\"")), "{field}");
         }
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -44,18 +44,27 @@
     mut signals: Signals,
     told: PathBuf,
     moves: Sender<Moved>,
+    renew: Option<management::Renew>,
     places: Rc<Places>,
     shared: Rc<Shared>,
 ) {
     while let Some(signal) = signals.next().await {
         let log = &shared.log;
         match signal {
-            Ok(Signal::Hup) => match told::read(&told) {
-                Ok(Told { names, known, rev, .. }) => {
-                    let _ = moves.send(Moved { names, known, rev }).await;
+            Ok(Signal::Hup) => {
+                // One word that waits is enough.
+                if let Some(r) = &renew {
+                    let _ = r.try_send(());
                 }
-                Err(e) => warn!(log, "the new configuration can't be used, the old one stays"; "why" => e),
-            },
+                match told::read(&told) {
+                    Ok(Told { names, known, rev, .. }) => {
+                        let _ = moves.send(Moved { names, known, rev }).await;
+                    }
+                    Err(e) => {
+                        warn!(log, "the new configuration can't be used, the old one stays"; "why" => e)
+                    }
+                }
+            }
             _ if places.begun() => info!(log, "told to end once more"),
             _ => {
                 info!(log, "told to end");
@@ -110,8 +119,10 @@
             kinds: told.index.kinds.iter().map(|n| n.as_str().into()).collect(),
         });
         executor.spawn(decide(gateway, shared.clone(), events, shown)).detach();
+        let mut renew = None;
         if let Some(m) = management {
-            let asked = m.start(&told.name, shared.clock, log.clone(), level)?;
+            let (asked, word) = m.start(&told.name, shared.clock, log.clone(), level)?;
+            renew = Some(word);
             executor.spawn(management::carry(asked, module.clone())).detach();
         }
         let (from, names, index, rev) = (told.listen.ip(), told.names, told.index, told.rev);
@@ -122,7 +133,8 @@
         shared.gauges.serial.set(told.rev);
         shared.gauges.connections_most.set((told.descriptors / 2) as u32);
         let places = Places::new(told.descriptors / 2, shared.gauges.connections.clone());
-        executor.spawn(heed(signals, path.into(), moves, places.clone(), shared.clone())).detach();
+        let heeded = heed(signals, path.into(), moves, renew, places.clone(), shared.clone());
+        executor.spawn(heeded).detach();
         info!(log, "serving"; "on" => told.listen);
 
         let accept = async {
--- a/crates/gateway/src/user.rs
+++ b/crates/gateway/src/user.rs
@@ -10,8 +10,9 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{ErrorKind, Write as _};
+use std::path::PathBuf;
 use std::time::{Duration, SystemTime};
-use tonic::transport::Channel;
+use tonic::transport::{Certificate, Channel, ClientTlsConfig, Identity};
 use tonic::{Code, Status};
 
 /// Of one answer; a tree of thousands of engines is some megabytes.
@@ -26,6 +27,18 @@
     /// For programs: JSON instead of tables
     #[arg(long)]
     json: bool,
+    /// The authority of the gateway's certificate, as PEM: with it TLS is spoken
+    #[arg(long, env = "IRONSTAIR_CA", value_name = "FILE", requires_all = ["cert", "key"])]
+    ca: Option<PathBuf>,
+    /// The own certificate, as PEM
+    #[arg(long, env = "IRONSTAIR_CERT", value_name = "FILE")]
+    cert: Option<PathBuf>,
+    /// The key of that, as PEM
+    #[arg(long, env = "IRONSTAIR_KEY", value_name = "FILE")]
+    key: Option<PathBuf>,
+    /// The name in the gateway's certificate, where it is not the host's
+    #[arg(long, value_name = "NAME")]
+    server_name: Option<String>,
 }
 
 #[derive(clap::Args)]
@@ -110,13 +123,31 @@
 }
 
 async fn client(at: &At) -> Result<Client, Failed> {
-    let unreachable = |e: &dyn std::fmt::Display| Failed(format!("{}: {e}", at.at), 4);
-    let endpoint = Channel::from_shared(format!("http://{}", at.at)).map_err(|e| wrong(e.to_string()))?;
+    let unreachable =
+        |e: &dyn std::fmt::Display| Failed(format!("{}: no gateway serves management there: {e}", at.at), 4);
+    let scheme = if at.ca.is_some() { "https" } else { "http" };
+    let endpoint = Channel::from_shared(format!("{scheme}://{}", at.at));
+    let mut endpoint = endpoint.map_err(|e| wrong(e.to_string()))?;
+    if let (Some(ca), Some(cert), Some(key)) = (&at.ca, &at.cert, &at.key) {
+        let file = |p: &PathBuf| std::fs::read(p).map_err(|e| wrong(format!("{}: {e}", p.display())));
+        let mut tls = ClientTlsConfig::new()
+            .ca_certificate(Certificate::from_pem(file(ca)?))
+            .identity(Identity::from_pem(file(cert)?, file(key)?));
+        if let Some(name) = &at.server_name {
+            tls = tls.domain_name(name);
+        }
+        endpoint = endpoint.tls_config(tls).map_err(|e| wrong(format!("the keys can't be used: {e}")))?;
+    }
     let connected = endpoint.connect_timeout(CONNECT_WITHIN).connect().await;
-    let channel = connected.map_err(|_| unreachable(&"no gateway serves management there"))?;
+    let channel = connected.map_err(|e| unreachable(&cause(&e)))?;
     Ok(GNmiClient::new(channel).max_decoding_message_size(ANSWER_MOST))
 }
 
+/// The innermost reason: what is around it says no more than that the transport failed.
+fn cause(e: &dyn std::error::Error) -> String {
+    e.source().map_or_else(|| e.to_string(), cause)
+}
+
 fn path(text: &str) -> Result<gnmi::Path, Failed> {
     let pattern = Pattern::read(text).map_err(wrong)?;
     let elem = pattern.0.iter().map(|w| match w {
--- a/crates/gnmi/src/lib.rs
+++ b/crates/gnmi/src/lib.rs
@@ -4,13 +4,13 @@
 //! and when it is cut off, and [`masters`] who of several may change, both without input or output.
 
 pub mod follow;
+pub mod keys;
 pub mod masters;
 pub mod serve;
 pub mod service;
 pub mod subscribe;
 mod words;
 
-pub use serve::{bind, Bounds};
 pub use service::{Service, Who};
 
 /// The messages and the service, from `proto/`.
--- a/crates/gnmi/src/serve.rs
+++ b/crates/gnmi/src/serve.rs
@@ -1,16 +1,26 @@
 //! The listener: connections, their bounds, and who is at their other end.
 
+use crate::keys::Files;
 use crate::proto::gnmi::g_nmi_server::GNmiServer;
 use crate::service::{Service, Who};
-use std::future::Future;
+use ironstair_mail::clock::span;
+use rustls::ServerConfig;
+use slog::{info, warn, Logger};
 use std::net::{SocketAddr, TcpListener as Bound};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio::sync::{mpsc, Semaphore};
+use tokio::time::{sleep, timeout};
+use tokio_rustls::server::TlsStream;
+use tokio_rustls::TlsAcceptor;
+use tokio_stream::wrappers::ReceiverStream;
 use tokio_stream::StreamExt;
-use tonic::transport::server::TcpConnectInfo;
+use tonic::transport::server::Connected;
 use tonic::transport::Server;
-use tonic::{Request, Status};
 
 /// Bytes of one request.
 const REQUEST_MOST: usize = 1 << 20;
@@ -18,12 +28,12 @@
 const PING_EVERY: Duration = Duration::from_secs(20);
 const PING_WITHIN: Duration = Duration::from_secs(10);
 const CALLS_MOST: u32 = 64;
-
-/// What one gateway bears of management.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    pub streams: usize,
-}
+/// Connections at once; those that are not known yet are among them.
+const CONNECTIONS_MOST: usize = 256;
+const KNOWN_WITHIN: Duration = Duration::from_secs(5);
+/// Key files are looked at this often, in ms.
+const LOOK_EVERY: f64 = 2000.0;
+const NO_DESCRIPTOR: f64 = 50.0;
 
 /// Bound before anything is started: a port in use is told at once.
 ///
@@ -36,26 +46,165 @@
     Ok(bound)
 }
 
-/// Serves on loopback without TLS: everybody there may read and change.
+/// The keys in force, and where they come from.
+pub struct Keys {
+    files: Files,
+    now: Mutex<Arc<ServerConfig>>,
+}
+
+impl Keys {
+    /// # Errors
+    /// The files can't be used; the sentence names the one.
+    pub fn open(files: Files) -> Result<Arc<Keys>, String> {
+        Ok(Arc::new(Keys { now: Mutex::new(files.read()?), files }))
+    }
+
+    fn acceptor(&self) -> TlsAcceptor {
+        TlsAcceptor::from(self.now.lock().unwrap_or_else(PoisonError::into_inner).clone())
+    }
+
+    /// Takes the files as they are now; those that can't be used leave the old keys in force.
+    fn renew(&self, log: &Logger) {
+        match self.files.read() {
+            Ok(new) => {
+                *self.now.lock().unwrap_or_else(PoisonError::into_inner) = new;
+                info!(log, "new keys for management");
+            }
+            Err(why) => {
+                warn!(log, "the new keys for management can't be used, the old ones stay"; "why" => why);
+            }
+        }
+    }
+
+    /// Renews at each word to do so, and whenever a file has changed and stayed so for one look.
+    async fn follow(&self, mut renew: mpsc::Receiver<()>, log: Logger) {
+        let (mut used, mut last) = (self.files.stamp(), self.files.stamp());
+        loop {
+            let asked = tokio::select! {
+                word = renew.recv() => match word {
+                    Some(()) => true,
+                    None => std::future::pending().await,
+                },
+                () = sleep(span(LOOK_EVERY)) => false,
+            };
+            let stamp = self.files.stamp();
+            // Against half a rotation: certificate and key are two files.
+            if asked || stamp != used && stamp == last {
+                self.renew(&log);
+                used = stamp.clone();
+            }
+            last = stamp;
+        }
+    }
+}
+
+/// One connection, and who is at its other end.
+pub struct Link {
+    to: Way,
+    who: Who,
+    _room: tokio::sync::OwnedSemaphorePermit,
+}
+
+enum Way {
+    Plain(TcpStream),
+    Tls(Box<TlsStream<TcpStream>>),
+}
+
+impl Connected for Link {
+    type ConnectInfo = Who;
+    fn connect_info(&self) -> Who {
+        self.who.clone()
+    }
+}
+
+impl AsyncRead for Link {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, b: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        match &mut self.to {
+            Way::Plain(s) => Pin::new(s).poll_read(cx, b),
+            Way::Tls(s) => Pin::new(s).poll_read(cx, b),
+        }
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, b: &[u8]) -> Poll<std::io::Result<usize>> {
+        match &mut self.to {
+            Way::Plain(s) => Pin::new(s).poll_write(cx, b),
+            Way::Tls(s) => Pin::new(s).poll_write(cx, b),
+        }
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        match &mut self.to {
+            Way::Plain(s) => Pin::new(s).poll_flush(cx),
+            Way::Tls(s) => Pin::new(s).poll_flush(cx),
+        }
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        match &mut self.to {
+            Way::Plain(s) => Pin::new(s).poll_shutdown(cx),
+            Way::Tls(s) => Pin::new(s).poll_shutdown(cx),
+        }
+    }
+}
+
+/// Serves until the process ends: with keys by TLS and client certificates, without on loopback, where everybody
+/// may read and change. `renew` asks for the keys to be read anew.
 ///
 /// # Errors
 /// The listener fails.
-pub async fn plain(bound: Bound, service: Service, until: impl Future<Output = ()>) -> Result<(), String> {
+pub async fn serve(
+    bound: Bound,
+    service: Service,
+    keys: Option<Arc<Keys>>,
+    renew: mpsc::Receiver<()>,
+    log: Logger,
+) -> Result<(), String> {
     let listener = TcpListener::from_std(bound).map_err(|e| e.to_string())?;
-    let incoming = TcpListenerStream::new(listener)
-        .map(|s: std::io::Result<TcpStream>| s.inspect(|s| drop(s.set_nodelay(true))));
-    let known = |mut request: Request<()>| -> Result<Request<()>, Status> {
-        let peer = request.extensions().get::<TcpConnectInfo>().and_then(|c| c.remote_addr());
-        let name = peer.map_or("loopback".into(), |p| p.to_string());
-        request.extensions_mut().insert(Who { name, may_change: true });
-        Ok(request)
-    };
+    let (to, links) = mpsc::channel(1);
+    if let Some(keys) = keys.clone() {
+        let log = log.clone();
+        tokio::spawn(async move { keys.follow(renew, log).await });
+    }
+    tokio::spawn(accept(listener, keys, to, log));
     let served = GNmiServer::new(service).max_decoding_message_size(REQUEST_MOST);
-    let served = tonic::service::interceptor::InterceptedService::new(served, known);
     let server = Server::builder()
         .http2_keepalive_interval(Some(PING_EVERY))
         .http2_keepalive_timeout(Some(PING_WITHIN))
         .max_concurrent_streams(Some(CALLS_MOST))
         .add_service(served);
-    server.serve_with_incoming_shutdown(incoming, until).await.map_err(|e| e.to_string())
+    let links = ReceiverStream::new(links).map(Ok::<Link, std::io::Error>);
+    server.serve_with_incoming(links).await.map_err(|e| e.to_string())
+}
+
+/// Each connection is made known in a task of its own: a slow or silent one holds up nobody.
+async fn accept(listener: TcpListener, keys: Option<Arc<Keys>>, to: mpsc::Sender<Link>, log: Logger) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+    loop {
+        let Ok(room) = places.clone().acquire_owned().await else { return };
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(span(NO_DESCRIPTOR)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (to, keys, log) = (to.clone(), keys.clone(), log.clone());
+        tokio::spawn(async move {
+            let known = match keys {
+                None => Ok((Way::Plain(stream), Who { name: from.to_string(), may_change: true })),
+                Some(keys) => known(&keys, stream).await,
+            };
+            match known {
+                Ok((way, who)) => drop(to.send(Link { to: way, who, _room: room }).await),
+                Err(why) => info!(log, "a management client is not let in"; "from" => from, "why" => why),
+            }
+        });
+    }
+}
+
+async fn known(keys: &Keys, stream: TcpStream) -> Result<(Way, Who), String> {
+    let shaken = timeout(KNOWN_WITHIN, keys.acceptor().accept(stream)).await;
+    let stream = shaken.map_err(|_| "no handshake in time")?.map_err(|e| e.to_string())?;
+    let certificate = stream.get_ref().1.peer_certificates().and_then(|c| c.first());
+    let who = certificate.and_then(|c| keys.files.who(c));
+    let who = who.ok_or("its certificate names nobody who may read or change")?;
+    Ok((Way::Tls(Box::new(stream)), who))
 }
