Loopback tests of management: certificates replaced under open streams, mutated messages

Certificate, key and authority are replaced by SIGHUP while a stream is open and 58 Sets run on a connection of the old keys: all of them and the stream go on; expired, foreign and roleless certificates and one that may only read change nothing; a bad key leaves the old one. 900 mutated messages of a fixed seed, oversize and unknown calls and JSON that is none: an error each, settings as before, memory within 16 MiB.

--- a/crates/gateway/tests/manage.rs
+++ b/crates/gateway/tests/manage.rs
@@ -542,3 +542,249 @@
         assert_eq!(get(&mut c, "/settings/advice").await.unwrap(), json!(4));
     });
 }
+
+/// An authority of this test's own.
+struct Authority(rcgen::Issuer<'static, rcgen::KeyPair>, String);
+
+impl Authority {
+    fn new(name: &str) -> Authority {
+        let mut params = rcgen::CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        params.distinguished_name.push(rcgen::DnType::CommonName, name);
+        let key = rcgen::KeyPair::generate().unwrap();
+        let pem = params.self_signed(&key).unwrap().pem();
+        Authority(rcgen::Issuer::new(params, key), pem)
+    }
+
+    /// Certificate and key, as PEM.
+    fn signs(&self, name: &str, at: Option<std::net::IpAddr>, expired: bool) -> (String, String) {
+        let mut params = rcgen::CertificateParams::new(Vec::new()).unwrap();
+        params.distinguished_name = rcgen::DistinguishedName::new();
+        params.distinguished_name.push(rcgen::DnType::CommonName, name);
+        params.subject_alt_names.extend(at.map(rcgen::SanType::IpAddress));
+        if expired {
+            params.not_before = rcgen::date_time_ymd(2020, 1, 1);
+            params.not_after = rcgen::date_time_ymd(2020, 2, 1);
+        }
+        let key = rcgen::KeyPair::generate().unwrap();
+        (params.signed_by(&key, &self.0).unwrap().pem(), key.serialize_pem())
+    }
+}
+
+fn secured(at: SocketAddr, server: &Authority, own: &(String, String)) -> Endpoint {
+    use tonic::transport::{Certificate, ClientTlsConfig, Identity};
+    let tls = ClientTlsConfig::new()
+        .ca_certificate(Certificate::from_pem(&server.1))
+        .identity(Identity::from_pem(&own.0, &own.1));
+    Endpoint::from_shared(format!("https://{at}")).unwrap().tls_config(tls).unwrap()
+}
+
+/// Whether somebody with that certificate can read.
+async fn let_in(at: SocketAddr, server: &Authority, own: &(String, String)) -> bool {
+    match secured(at, server, own).connect().await {
+        Err(_) => false,
+        Ok(channel) => get(&mut GNmiClient::new(channel), "/settings/advice").await.is_ok(),
+    }
+}
+
+#[test]
+fn case_5_certificates_are_replaced_under_open_streams_and_wrong_ones_change_nothing() {
+    let (old, new) = (Authority::new("old"), Authority::new("new"));
+    let mut files = None;
+    let (gateway, at) = managed_with("case-5", &[], |operator, dir| {
+        let at: SocketAddr = operator["management"]["listen"].as_str().unwrap().parse().unwrap();
+        let own = old.signs("gateway", Some(at.ip()), false);
+        let put = move |dir: &std::path::Path, own: &(String, String), authority: &str| {
+            std::fs::write(dir.join("cert.pem"), &own.0).unwrap();
+            std::fs::write(dir.join("key.pem"), &own.1).unwrap();
+            std::fs::write(dir.join("clients.pem"), authority).unwrap();
+        };
+        put(dir, &own, &old.1);
+        operator["management"]["tls"] = json!({"certificate": dir.join("cert.pem"), "key": dir.join("key.pem"),
+            "clients": dir.join("clients.pem"), "change": ["ops-*"], "read": ["reader"]});
+        files = Some((dir.to_path_buf(), put));
+    });
+    let (dir, put) = files.unwrap();
+    let ops = old.signs("ops-1", None, false);
+    runtime().block_on(async {
+        let mut c = connected(secured(at, &old, &ops)).await;
+        let mut reader = connected(secured(at, &old, &old.signs("reader", None, false))).await;
+        set(&mut c, "/settings/advice", json!(1)).await.unwrap();
+        let denied = set(&mut reader, "/settings/advice", json!(2)).await.unwrap_err();
+        assert_eq!(
+            (denied.code(), denied.message()),
+            (Code::PermissionDenied, "reader may read, not change")
+        );
+        for (wrong, who) in [
+            (old.signs("ops-2", None, true), "expired"),
+            (new.signs("ops-1", None, false), "foreign"),
+            (old.signs("stranger", None, false), "of no role"),
+        ] {
+            assert!(!let_in(at, &old, &wrong).await, "{who}");
+        }
+        // Without TLS at all nothing is heard either.
+        let plain = Endpoint::from_shared(format!("http://{at}")).unwrap();
+        if let Ok(channel) = plain.connect().await {
+            assert!(get(&mut GNmiClient::new(channel), "/settings").await.is_err());
+        }
+        assert_eq!(get(&mut reader, "/settings/advice").await.unwrap(), json!(1));
+
+        let mut told = subscribe(&mut reader, subscribing("/settings/advice", SubscriptionMode::OnChange))
+            .await
+            .unwrap();
+        let changing = tokio::spawn(async move {
+            for nth in 2..60 {
+                set(&mut c, "/settings/advice", json!(nth)).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        });
+        put(&dir, &new.signs("gateway", Some(at.ip()), false), &new.1);
+        gateway.signal("-HUP");
+        let renewed = new.signs("ops-1", None, false);
+        let late = Instant::now() + Duration::from_secs(5);
+        while !let_in(at, &new, &renewed).await {
+            assert!(Instant::now() < late, "new keys are not taken");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(!let_in(at, &old, &ops).await, "the old authority lets nobody in any more");
+        changing.await.unwrap();
+        // The stream that was open hears the last change, made on a connection of the old keys.
+        let heard = tokio::time::timeout(Duration::from_secs(5), async {
+            loop {
+                let Some(Sent::Update(n)) = told.message().await.unwrap().unwrap().response else { continue };
+                let last = n.update.last().and_then(|u| u.val.clone()).and_then(|v| v.value);
+                if last == Some(typed_value::Value::UintVal(59)) {
+                    return;
+                }
+            }
+        });
+        heard.await.unwrap();
+        // A bad key leaves what is in force.
+        std::fs::write(dir.join("key.pem"), "no key").unwrap();
+        gateway.signal("-HUP");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let mut c = connected(secured(at, &new, &renewed)).await;
+        set(&mut c, "/settings/advice", json!(60)).await.unwrap();
+    });
+}
+
+/// Messages as bytes, well formed or not.
+#[derive(Clone, Default)]
+struct Bytes;
+
+impl tonic::codec::Codec for Bytes {
+    type Encode = Vec<u8>;
+    type Decode = Vec<u8>;
+    type Encoder = Bytes;
+    type Decoder = Bytes;
+    fn encoder(&mut self) -> Bytes {
+        Bytes
+    }
+    fn decoder(&mut self) -> Bytes {
+        Bytes
+    }
+}
+
+impl tonic::codec::Encoder for Bytes {
+    type Item = Vec<u8>;
+    type Error = Status;
+    fn encode(&mut self, item: Vec<u8>, to: &mut tonic::codec::EncodeBuf) -> Result<(), Status> {
+        bytes::BufMut::put_slice(to, &item);
+        Ok(())
+    }
+}
+
+impl tonic::codec::Decoder for Bytes {
+    type Item = Vec<u8>;
+    type Error = Status;
+    fn decode(&mut self, from: &mut tonic::codec::DecodeBuf) -> Result<Option<Vec<u8>>, Status> {
+        let n = bytes::Buf::remaining(from);
+        Ok(Some(bytes::Buf::copy_to_bytes(from, n).to_vec()))
+    }
+}
+
+async fn raw(channel: &Channel, method: &str, message: Vec<u8>) -> Result<(), Status> {
+    let mut grpc = tonic::client::Grpc::new(channel.clone());
+    grpc.ready().await.map_err(|e| Status::unavailable(e.to_string()))?;
+    let at = format!("/gnmi.gNMI/{method}").parse().unwrap();
+    let once = tokio_stream::once(message);
+    let mut told = grpc.streaming(tonic::Request::new(once), at, Bytes).await?.into_inner();
+    let ends = async {
+        while told.message().await?.is_some() {}
+        Ok(())
+    };
+    // A stream that was understood goes on; that is no fault.
+    tokio::time::timeout(Duration::from_millis(20), ends).await.unwrap_or(Ok(()))
+}
+
+#[test]
+fn case_7_random_and_mutated_messages_are_an_error_each_and_cost_nobody() {
+    use prost::Message;
+    let (mut gateway, at) = managed("case-7", &[]);
+    let seed = |n: u64| -> u64 {
+        let x = (n ^ 0x9E37_79B9_7F4A_7C15).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        (x ^ (x >> 29)).wrapping_mul(0x94D0_49BB_1331_11EB) >> 16
+    };
+    runtime().block_on(async {
+        let mut c = client(at).await;
+        let before = get(&mut c, "/settings").await.unwrap();
+        let channel = Endpoint::from_shared(format!("http://{at}")).unwrap().connect().await.unwrap();
+        let whole = gnmi::SetRequest {
+            update: vec![update("/settings/band[name=lookup]/expected", json!(0))],
+            delete: vec![path("/state/process")],
+            extension: commit("x", within(-5, 7)),
+            ..Default::default()
+        };
+        let models: [(&str, Vec<u8>); 3] = [
+            (
+                "Get",
+                gnmi::GetRequest {
+                    path: vec![path("/state/engine[name=x]")],
+                    encoding: 4,
+                    ..Default::default()
+                }
+                .encode_to_vec(),
+            ),
+            ("Set", whole.encode_to_vec()),
+            ("Subscribe", subscribing("/state/band[name=lookup]", SubscriptionMode::Sample).encode_to_vec()),
+        ];
+        let mut start = 0;
+        let mut refused = 0;
+        for nth in 0..900u64 {
+            let (method, model) = &models[nth as usize % 3];
+            let mut message = model.clone();
+            for turn in 0..1 + seed(nth) % 6 {
+                let r = seed(nth * 31 + turn);
+                match r % 4 {
+                    0 if !message.is_empty() => message.truncate(r as usize / 4 % message.len()),
+                    1 => message.extend((0..r / 4 % 40).map(|i| seed(nth + i) as u8)),
+                    _ if !message.is_empty() => {
+                        let at = r as usize / 4 % message.len();
+                        message[at] = seed(r) as u8;
+                    }
+                    _ => {}
+                }
+            }
+            refused += raw(&channel, method, message).await.is_err() as u32;
+            if nth == 100 {
+                start = resident(gateway.process.id());
+            }
+        }
+        assert!(refused > 300, "{refused}");
+        for (method, message) in [("Get", vec![0x12; 2 << 20]), ("Nothing", Vec::new())] {
+            assert!(raw(&channel, method, message).await.is_err(), "{method}");
+        }
+        let deep = |n: usize| format!("{}1{}", "[".repeat(n), "]".repeat(n));
+        for value in ["{", "nul", "1e999", &deep(5000), "\"\\ud800\"", &"9".repeat(400)] {
+            let val = Some(TypedValue { value: Some(typed_value::Value::JsonIetfVal(value.into())) });
+            let update = vec![gnmi::Update { path: Some(path("/settings/advice")), val, duplicates: 0 }];
+            let wrong = c.set(gnmi::SetRequest { update, ..Default::default() }).await.unwrap_err();
+            assert_eq!(wrong.code(), Code::InvalidArgument, "{value}: {wrong:?}");
+            assert!(wrong.message().starts_with("/settings/advice"), "{wrong:?}");
+        }
+        assert_eq!(get(&mut c, "/settings").await.unwrap(), before, "nothing has changed");
+        let grown = resident(gateway.process.id()).saturating_sub(start);
+        assert!(grown < 16 << 10, "grown by {grown} KiB");
+    });
+    assert!(gateway.process.try_wait().unwrap().is_none(), "it still runs");
+}
