--- a/crates/gateway/tests/manage.rs
+++ b/crates/gateway/tests/manage.rs
@@ -1,13 +1,15 @@
 //! Management of the built gateway under traffic and faults: the hard cases, on loopback, between stand-ins.
 
 mod common;
+mod managed;
 
 use common::*;
 use ironstair_gnmi::proto::gnmi::g_nmi_client::GNmiClient;
-use ironstair_gnmi::proto::gnmi::{self, subscribe_request, subscribe_response::Response as Sent};
+use ironstair_gnmi::proto::gnmi::{self, subscribe_response::Response as Sent};
 use ironstair_gnmi::proto::gnmi::{typed_value, SubscriptionMode, TypedValue};
 use ironstair_gnmi::proto::gnmi_ext::{self, commit::Action, extension::Ext, Extension};
-use serde_json::{json, Value};
+use managed::*;
+use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -18,135 +20,6 @@
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status};
 
-type Client = GNmiClient<Channel>;
-
-fn class(name: &str, semantics: &str, expected_ms: f64) -> Value {
-    json!({"name": name, "slo_ns": expected_ms * 1e6, "give_up_ns": 5e9, "semantics": semantics, "worth": 1.0})
-}
-
-fn classes() -> Value {
-    json!([
-        class("lookup", "pure", 1000.0),
-        class("report", "pure", 2000.0),
-        class("post", "side_effect", 1000.0)
-    ])
-}
-
-fn managed_with(
-    test: &str,
-    engines: &[(&str, SocketAddr)],
-    more: impl FnOnce(&mut Value, &std::path::Path),
-) -> (Gateway, SocketAddr) {
-    let (told, roster) = told(1, classes(), engines);
-    let at = SocketAddr::new(told["listen"].as_str().unwrap().parse::<SocketAddr>().unwrap().ip(), 9339);
-    let dir = std::env::temp_dir().join(format!("ironstair-{test}-{}", std::process::id()));
-    let mut operator = json!({"management": {"listen": at.to_string(), "state": dir.join("state")}});
-    std::fs::create_dir_all(&dir).unwrap();
-    more(&mut operator, &dir);
-    (started(test, told, roster, Some(operator)), at)
-}
-
-fn managed(test: &str, engines: &[(&str, SocketAddr)]) -> (Gateway, SocketAddr) {
-    managed_with(test, engines, |_, _| {})
-}
-
-fn runtime() -> Runtime {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap()
-}
-
-async fn connected(endpoint: Endpoint) -> Client {
-    let late = Instant::now() + Duration::from_secs(10);
-    loop {
-        match endpoint.connect().await {
-            Ok(channel) => return GNmiClient::new(channel).max_decoding_message_size(64 << 20),
-            Err(e) => assert!(Instant::now() < late, "{e:?}"),
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-async fn client(at: SocketAddr) -> Client {
-    connected(Endpoint::from_shared(format!("http://{at}")).unwrap()).await
-}
-
-fn path(text: &str) -> gnmi::Path {
-    let steps = text.split('/').filter(|s| !s.is_empty()).map(|s| match s.split_once('[') {
-        None => gnmi::PathElem { name: s.into(), ..Default::default() },
-        Some((name, key)) => {
-            let (k, v) = key.trim_end_matches(']').split_once('=').unwrap();
-            gnmi::PathElem { name: name.into(), key: [(k.to_string(), v.to_string())].into() }
-        }
-    });
-    gnmi::Path { elem: steps.collect(), ..Default::default() }
-}
-
-fn shown(prefix: Option<&gnmi::Path>, path: Option<&gnmi::Path>) -> String {
-    let steps = prefix.into_iter().chain(path).flat_map(|p| &p.elem);
-    let step = |e: &gnmi::PathElem| {
-        let keys: String = e.key.iter().map(|(k, v)| format!("[{k}={v}]")).collect();
-        format!("/{}{keys}", e.name)
-    };
-    steps.map(step).collect()
-}
-
-fn update(at: &str, value: Value) -> gnmi::Update {
-    let bytes = value.to_string().into_bytes();
-    let val = Some(TypedValue { value: Some(typed_value::Value::JsonIetfVal(bytes)) });
-    gnmi::Update { path: Some(path(at)), val, duplicates: 0 }
-}
-
-async fn set(c: &mut Client, at: &str, value: Value) -> Result<(), Status> {
-    let request = gnmi::SetRequest { update: vec![update(at, value)], ..Default::default() };
-    c.set(request).await.map(drop)
-}
-
-async fn delete(c: &mut Client, at: &str) -> Result<(), Status> {
-    let request = gnmi::SetRequest { delete: vec![path(at)], ..Default::default() };
-    c.set(request).await.map(drop)
-}
-
-async fn get(c: &mut Client, at: &str) -> Result<Value, Status> {
-    let encoding = gnmi::Encoding::JsonIetf as i32;
-    let answer = c.get(gnmi::GetRequest { path: vec![path(at)], encoding, ..Default::default() }).await?;
-    let update = &answer.get_ref().notification[0].update[0];
-    let Some(typed_value::Value::JsonIetfVal(bytes)) = &update.val.as_ref().unwrap().value else { panic!() };
-    Ok(serde_json::from_slice(bytes).unwrap())
-}
-
-async fn leaves(c: &mut Client, at: &str) -> BTreeMap<String, TypedValue> {
-    let encoding = gnmi::Encoding::Proto as i32;
-    let request = gnmi::GetRequest { path: vec![path(at)], encoding, ..Default::default() };
-    let answer = c.get(request).await.unwrap().into_inner();
-    let all = answer.notification.into_iter().flat_map(|n| n.update);
-    all.map(|u| (shown(None, u.path.as_ref()), u.val.unwrap())).collect()
-}
-
-fn commit(id: &str, action: Action) -> Vec<Extension> {
-    let commit = gnmi_ext::Commit { id: id.into(), action: Some(action) };
-    vec![Extension { ext: Some(Ext::Commit(commit)) }]
-}
-
-fn within(seconds: i64, nanos: i32) -> Action {
-    let rollback_duration = Some(prost_types::Duration { seconds, nanos });
-    Action::Commit(gnmi_ext::CommitRequest { rollback_duration })
-}
-
-fn subscribing(at: &str, mode: SubscriptionMode) -> gnmi::SubscribeRequest {
-    let subscription =
-        vec![gnmi::Subscription { path: Some(path(at)), mode: mode as i32, ..Default::default() }];
-    let encoding = gnmi::Encoding::Proto as i32;
-    let list = gnmi::SubscriptionList { subscription, encoding, ..Default::default() };
-    gnmi::SubscribeRequest { request: Some(subscribe_request::Request::Subscribe(list)), extension: vec![] }
-}
-
-async fn subscribe(
-    c: &mut Client,
-    first: gnmi::SubscribeRequest,
-) -> Result<tonic::Streaming<gnmi::SubscribeResponse>, Status> {
-    let asked = tokio_stream::StreamExt::chain(tokio_stream::once(first), tokio_stream::pending());
-    Ok(c.subscribe(asked).await?.into_inner())
-}
-
 /// What a subscriber has put together.
 #[derive(Default)]
 struct Copy(BTreeMap<String, TypedValue>);
@@ -247,7 +120,7 @@
     let per_client = 100;
     let clients: Vec<_> = (0..8u64)
         .map(|who| {
-            let mut c = Client_::of(&gateway);
+            let mut c = Client::of(&gateway);
             thread::spawn(move || {
                 let (mut answers, mut open, mut worst) = (BTreeMap::new(), BTreeMap::new(), Duration::ZERO);
                 let mut asked = 0;
@@ -294,15 +167,13 @@
     assert!(forwards.values().all(|n| *n == 1), "{forwards:?}");
 }
 
-use common::Client as Client_;
-
 #[test]
 fn case_2_a_band_is_taken_out_and_put_back_while_its_submissions_wait_and_run() {
     let (at_engine, _) = slow_engine(120, |_| false);
     let (gateway, at) = managed("case-2", &[("e1", at_engine)]);
     let rt = runtime();
     let mut c = rt.block_on(client(at));
-    let mut asker = Client_::of(&gateway);
+    let mut asker = Client::of(&gateway);
     (1..=12).for_each(|call| asker.ask_in("report", call));
     // Some run, the rest wait: one engine, one answer after the other on each connection.
     thread::sleep(Duration::from_millis(60));
@@ -369,7 +240,7 @@
     let (gateway, at) = managed("case-3", &[("e1", at_engine)]);
     let over = Arc::new(AtomicBool::new(false));
     let traffic = {
-        let (over, mut asker) = (over.clone(), Client_::of(&gateway));
+        let (over, mut asker) = (over.clone(), Client::of(&gateway));
         thread::spawn(move || {
             let mut worst = Duration::ZERO;
             for call in 1.. {
