--- a/crates/gnmi/src/follow.rs
+++ b/crates/gnmi/src/follow.rs
@@ -46,14 +46,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Mark {
-    /// How many changes it stands for beyond the first.
-    duplicates: u32,
-    /// Something below it went: it is deleted before what is there now is told.
-    gone: bool,
-}
-
 /// What is sent for one mark.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Told {
@@ -76,7 +68,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Follow {
     subscriptions: Vec<Subscription>,
-    marks: BTreeMap<Path, Mark>,
+    /// How many changes each stands for beyond the first.
+    marks: BTreeMap<Path, u32>,
     /// First marked, first sent: what changes all the time does not keep the rest waiting.
     order: VecDeque<Path>,
     tree: Leaves,
@@ -186,14 +179,14 @@
     pub fn take(&mut self, now: Ms, most: usize) -> Vec<Told> {
         let (mut told, mut leaves) = (Vec::new(), 0);
         while let Some(at) = if leaves < most { self.order.pop_front() } else { None } {
-            let Some(mark) = self.marks.remove(&at) else { continue };
+            let Some(duplicates) = self.marks.remove(&at) else { continue };
             let below = Pattern::of(&at);
             let updates: Vec<(Path, Value)> =
                 select(&self.tree, &below).map(|(p, v)| (p.clone(), v.clone())).collect();
             leaves += updates.len().max(1);
             let atomic = at.0.len() == 2 && !updates.is_empty();
-            let deleted = updates.is_empty() || mark.gone && !atomic;
-            told.push(Told { at, deleted, atomic, updates, duplicates: mark.duplicates });
+            let deleted = updates.is_empty();
+            told.push(Told { at, deleted, atomic, updates, duplicates });
         }
         self.taken |= !told.is_empty();
         self.await_reader(now);
@@ -205,14 +198,11 @@
         self.waiting = something.then(|| self.waiting.unwrap_or(now));
     }
 
-    fn mark(&mut self, at: Path, gone: bool) {
+    fn mark(&mut self, at: Path) {
         match self.marks.get_mut(&at) {
-            Some(mark) => {
-                mark.duplicates = mark.duplicates.saturating_add(1);
-                mark.gone |= gone;
-            }
+            Some(duplicates) => *duplicates = duplicates.saturating_add(1),
             None => {
-                self.marks.insert(at.clone(), Mark { duplicates: 0, gone });
+                self.marks.insert(at.clone(), 0);
                 self.order.push_back(at);
             }
         }
@@ -223,7 +213,7 @@
         let wanted = self.subscriptions[nth].wanted.clone();
         let mut units: Vec<Path> = select(&self.tree, &wanted).map(|(p, _)| unit(p, &wanted).0).collect();
         units.dedup();
-        units.into_iter().for_each(|u| self.mark(u, false));
+        units.into_iter().for_each(|u| self.mark(u));
     }
 
     /// Marks what differs from the tree that the subscription saw last.
@@ -233,11 +223,9 @@
         let (seen, wanted) = (std::mem::replace(&mut s.seen, tree.clone()), s.wanted.clone());
         let mut last: Option<Path> = None;
         for item in seen.diff(&tree) {
-            let (path, gone) = match item {
-                DiffItem::Add(p, _) => (p, false),
-                DiffItem::Update { new: (p, _), .. } => (p, false),
-                DiffItem::Remove(p, _) => (p, true),
-            };
+            let (DiffItem::Add(path, _)
+            | DiffItem::Update { new: (path, _), .. }
+            | DiffItem::Remove(path, _)) = item;
             if !wanted.covers(path) {
                 continue;
             }
@@ -247,7 +235,7 @@
                 continue;
             }
             last = whole.then(|| at.clone());
-            self.mark(at, gone);
+            self.mark(at);
         }
     }
 }
