Subscribe in all modes, wrong calls, union_replace and a full disk tested over the wire

Need: what users of gNMI expect of each call. Found and mended: a leaf that stands as high as an entry was told by its prefix alone. A disk that takes nothing refuses the change and the gateway serves on; a told file that has changed comes before the revisions at the next start, not by SIGHUP.

--- a/crates/gateway/tests/manage.rs
+++ b/crates/gateway/tests/manage.rs
@@ -659,3 +659,273 @@
     });
     assert!(gateway.process.try_wait().unwrap().is_none(), "it still runs");
 }
+
+fn listing(at: &[&str], mode: gnmi::subscription_list::Mode, updates_only: bool) -> gnmi::SubscribeRequest {
+    let subscription = at.iter().map(|at| gnmi::Subscription { path: Some(path(at)), ..Default::default() });
+    let list = gnmi::SubscriptionList {
+        subscription: subscription.collect(),
+        mode: mode as i32,
+        updates_only,
+        encoding: gnmi::Encoding::Proto as i32,
+        ..Default::default()
+    };
+    asked(list)
+}
+
+fn asked(list: gnmi::SubscriptionList) -> gnmi::SubscribeRequest {
+    let request = Some(gnmi::subscribe_request::Request::Subscribe(list));
+    gnmi::SubscribeRequest { request, extension: Vec::new() }
+}
+
+/// Updates up to the word that this was all.
+async fn up_to_sync(s: &mut tonic::Streaming<gnmi::SubscribeResponse>) -> Result<usize, Status> {
+    let mut n = 0;
+    loop {
+        match s.message().await?.and_then(|m| m.response) {
+            Some(Sent::SyncResponse(true)) => return Ok(n),
+            Some(Sent::Update(u)) => n += u.update.len(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn once_poll_and_stream_tell_all_then_the_word_that_this_was_all() {
+    use gnmi::subscription_list::Mode::{Once, Poll, Stream};
+    let (_gateway, at) = managed("modes", &[("e1", "127.0.0.1:9".parse().unwrap())]);
+    runtime().block_on(async {
+        let mut c = client(at).await;
+        let bands = leaves(&mut c, "/settings/band").await.len();
+        let mut once = subscribe(&mut c, listing(&["/settings/band"], Once, false)).await.unwrap();
+        assert_eq!(up_to_sync(&mut once).await.unwrap(), bands);
+        assert!(once.message().await.unwrap().is_none(), "and it ends");
+
+        let poll = || gnmi::SubscribeRequest {
+            request: Some(gnmi::subscribe_request::Request::Poll(gnmi::Poll {})),
+            extension: Vec::new(),
+        };
+        for (updates_only, second) in [(false, bands), (true, 0)] {
+            let (say, asked) = tokio::sync::mpsc::channel(4);
+            say.send(listing(&["/settings/band"], Poll, updates_only)).await.unwrap();
+            let asked = tokio_stream::wrappers::ReceiverStream::new(asked);
+            let mut polled = c.clone().subscribe(asked).await.unwrap().into_inner();
+            say.send(poll()).await.unwrap();
+            assert_eq!(up_to_sync(&mut polled).await.unwrap(), if updates_only { 0 } else { bands });
+            say.send(poll()).await.unwrap();
+            assert_eq!(up_to_sync(&mut polled).await.unwrap(), second);
+            let payoff = if updates_only { "3.5" } else { "2.5" };
+            set(&mut c, "/settings/band[name=lookup]/payoff", json!(payoff)).await.unwrap();
+            say.send(poll()).await.unwrap();
+            // Of what has changed, the whole entry: it must not be seen half.
+            assert_eq!(up_to_sync(&mut polled).await.unwrap(), if updates_only { 9 } else { bands });
+        }
+        let both = ["/settings/advice", "/state/process/name"];
+        let mut stream = subscribe(&mut c, listing(&both, Stream, false)).await.unwrap();
+        assert_eq!(up_to_sync(&mut stream).await.unwrap(), 2);
+        set(&mut c, "/settings/advice", json!(5)).await.unwrap();
+        let Some(Sent::Update(n)) = stream.message().await.unwrap().unwrap().response else { panic!() };
+        assert_eq!(shown(None, n.update[0].path.as_ref()), "/settings/advice");
+    });
+}
+
+#[test]
+fn calls_that_can_not_be_served_say_why_and_where() {
+    let (_gateway, at) = managed_with("wrong-calls", &[], |operator, _| {
+        operator["management"]["streams"] = json!(2);
+    });
+    runtime().block_on(async {
+        let mut c = client(at).await;
+        let capable = c.capabilities(gnmi::CapabilityRequest::default()).await.unwrap().into_inner();
+        assert_eq!(
+            (capable.supported_models[0].name.as_str(), capable.supported_encodings),
+            ("ironstair-gateway", vec![4, 0, 2])
+        );
+        let get_of = |p: gnmi::Path, encoding: i32, kind: i32| gnmi::GetRequest {
+            path: vec![p],
+            encoding,
+            r#type: kind,
+            ..Default::default()
+        };
+        let origin = gnmi::Path { origin: "openconfig".into(), ..path("/settings") };
+        let target = gnmi::Path { target: "n9".into(), ..path("/settings") };
+        let old = gnmi::PathElem {
+            name: "band".into(),
+            key: [("a".into(), "b".into()), ("c".into(), "d".into())].into(),
+        };
+        let two_keys = gnmi::Path { elem: vec![old], ..Default::default() };
+        for (request, code, why) in [
+            (
+                get_of(path("/settings/bands"), 4, 0),
+                Code::InvalidArgument,
+                "/settings/bands: there is no such node",
+            ),
+            (
+                get_of(path("/settings/band[name=none]"), 4, 0),
+                Code::NotFound,
+                "/settings/band[name=none]: there is nothing",
+            ),
+            (get_of(path("/state/list"), 4, 1), Code::NotFound, "/state/list: there is nothing"),
+            (get_of(path("/settings"), 1, 0), Code::Unimplemented, "encoding BYTES"),
+            (get_of(path("/settings"), 77, 0), Code::InvalidArgument, "encoding 77"),
+            (get_of(path("/settings"), 4, 9), Code::InvalidArgument, "type 9"),
+            (get_of(origin, 4, 0), Code::InvalidArgument, "origin \"openconfig\""),
+            (get_of(target, 4, 0), Code::InvalidArgument, "target \"n9\""),
+            (get_of(two_keys, 4, 0), Code::InvalidArgument, "band: a list here has one key"),
+            (get_of(path(&"/a".repeat(40)), 4, 0), Code::InvalidArgument, "a path of 40 steps"),
+            (
+                gnmi::GetRequest { path: vec![path("/"); 300], encoding: 4, ..Default::default() },
+                Code::InvalidArgument,
+                "more than 256",
+            ),
+        ] {
+            let e = c.get(request).await.unwrap_err();
+            assert!(e.code() == code && e.message().starts_with(why), "{why}: {e:?}");
+        }
+        let one = |at: &str| vec![update(at, json!(1))];
+        let union = gnmi::SetRequest {
+            union_replace: one("/settings"),
+            update: one("/settings/advice"),
+            ..Default::default()
+        };
+        let confirm = Action::Confirm(gnmi_ext::CommitConfirm {});
+        let both = gnmi::SetRequest {
+            update: one("/settings/advice"),
+            extension: commit("a", confirm),
+            ..Default::default()
+        };
+        let short = gnmi::SetRequest {
+            update: one("/settings/advice"),
+            extension: commit("a", within(0, 5)),
+            ..Default::default()
+        };
+        let nameless = gnmi::SetRequest {
+            update: one("/settings/advice"),
+            extension: commit("", within(5, 0)),
+            ..Default::default()
+        };
+        for (request, why) in [
+            (union, "union_replace stands alone"),
+            (both, "a confirmation, a cancel"),
+            (short, "rollback_duration is outside 1 s to 86400 s"),
+            (nameless, "a commit needs an id"),
+        ] {
+            let e = c.set(request).await.unwrap_err();
+            assert!(e.code() == Code::InvalidArgument && e.message().starts_with(why), "{why}: {e:?}");
+        }
+        let sub = |s: gnmi::Subscription| {
+            asked(gnmi::SubscriptionList { subscription: vec![s], encoding: 4, ..Default::default() })
+        };
+        let quick = gnmi::Subscription {
+            path: Some(path("/state")),
+            mode: 2,
+            sample_interval: 5,
+            ..Default::default()
+        };
+        let unknown = gnmi::Subscription { path: Some(path("/nothing")), ..Default::default() };
+        let poll = gnmi::SubscribeRequest {
+            request: Some(gnmi::subscribe_request::Request::Poll(gnmi::Poll {})),
+            extension: Vec::new(),
+        };
+        for (first, why) in [
+            (sub(quick), "sample_interval is outside"),
+            (sub(unknown), "/nothing: there is no such node"),
+            (poll, "a stream begins with a subscription list"),
+            (asked(gnmi::SubscriptionList { encoding: 4, ..Default::default() }), "1 to 64 subscriptions"),
+        ] {
+            let e = subscribe(&mut c, first).await.unwrap().message().await.unwrap_err();
+            assert!(e.code() == Code::InvalidArgument && e.message().starts_with(why), "{why}: {e:?}");
+        }
+        let mut open = Vec::new();
+        for nth in 0..3 {
+            let (say, asked) = tokio::sync::mpsc::channel(1);
+            say.send(subscribing("/settings", SubscriptionMode::OnChange)).await.unwrap();
+            let asked = tokio_stream::wrappers::ReceiverStream::new(asked);
+            let mut s = c.subscribe(asked).await.unwrap().into_inner();
+            let first = s.message().await;
+            assert_eq!(first.is_ok(), nth < 2);
+            assert!(nth < 2 || first.unwrap_err().code() == Code::ResourceExhausted);
+            open.push((say, s));
+        }
+        drop(open);
+        // The places are given back.
+        let late = Instant::now() + Duration::from_secs(5);
+        loop {
+            let mut s =
+                subscribe(&mut c, subscribing("/settings", SubscriptionMode::OnChange)).await.unwrap();
+            if s.message().await.is_ok() {
+                break;
+            }
+            assert!(Instant::now() < late);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[test]
+fn union_replace_makes_the_settings_the_union_of_its_values() {
+    let (_gateway, at) = managed("union", &[]);
+    runtime().block_on(async {
+        let mut c = client(at).await;
+        let settings = get(&mut c, "/settings").await.unwrap();
+        let of = |name: &str| settings[format!("ironstair-gateway:{name}")].clone();
+        let one = json!([of("band")[0], of("band")[2]]);
+        let union_replace = vec![
+            update("/settings/band", one),
+            update("/settings/cold", of("cold")),
+            update("/settings", json!({"gateways": 7, "forwards-most": 3})),
+        ];
+        c.set(gnmi::SetRequest { union_replace, ..Default::default() }).await.unwrap();
+        let new = get(&mut c, "/settings").await.unwrap();
+        assert_eq!(new["ironstair-gateway:band"].as_array().unwrap().len(), 2);
+        assert_eq!(
+            (&new["ironstair-gateway:gateways"], &new["ironstair-gateway:forwards-most"]),
+            (&json!(7), &json!(3))
+        );
+    });
+}
+
+#[test]
+fn a_disk_that_takes_nothing_refuses_the_change_and_the_gateway_serves_on() {
+    let (at_engine, _) = slow_engine(1, |_| false);
+    let (mut gateway, at) = managed_with("full-disk", &[("e1", at_engine)], |_, dir| {
+        std::fs::create_dir_all(dir.join("state")).unwrap();
+        // What is written there finds no space.
+        std::os::unix::fs::symlink("/dev/full", dir.join("state/revisions.new")).unwrap();
+    });
+    let rt = runtime();
+    rt.block_on(async {
+        let mut c = client(at).await;
+        let full = set(&mut c, "/settings/advice", json!(9)).await.unwrap_err();
+        assert_eq!(full.code(), Code::ResourceExhausted, "{full:?}");
+        assert!(full.message().contains("was not made"), "{full:?}");
+        assert_eq!(get(&mut c, "/settings/advice").await.unwrap(), json!(0));
+        let mut asker = Client::of(&gateway);
+        asker.ask(1);
+        assert_eq!(asker.rows().0, 1);
+        std::fs::remove_file(gateway.dir.join("state/revisions.new")).unwrap();
+        set(&mut c, "/settings/advice", json!(10)).await.unwrap();
+    });
+    gateway.again();
+    let kept = rt.block_on(async { get(&mut client(at).await, "/settings/advice").await.unwrap() });
+    assert_eq!(kept, json!(10));
+}
+
+#[test]
+fn a_told_file_that_has_changed_comes_before_the_revisions() {
+    let (mut gateway, at) = managed("told-anew", &[]);
+    let rt = runtime();
+    rt.block_on(async { set(&mut client(at).await, "/settings/gateways", json!(5)).await.unwrap() });
+    let told = gateway.dir.join("told.json");
+    let mut v: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(&told).unwrap()).unwrap();
+    v["settings"]["fleet_size"] = json!(8);
+    std::fs::write(&told, v.to_string()).unwrap();
+    // Not by a signal: settings are taken over at a start.
+    gateway.signal("-HUP");
+    let gateways =
+        |rt: &Runtime| rt.block_on(async { get(&mut client(at).await, "/settings/gateways").await.unwrap() });
+    assert_eq!(gateways(&rt), json!(5));
+    gateway.again();
+    assert_eq!(gateways(&rt), json!(8));
+    gateway.again();
+    assert_eq!(gateways(&rt), json!(8), "and so it stays");
+}
--- a/crates/gnmi/src/follow.rs
+++ b/crates/gnmi/src/follow.rs
@@ -184,7 +184,8 @@
             let updates: Vec<(Path, Value)> =
                 select(&self.tree, &below).map(|(p, v)| (p.clone(), v.clone())).collect();
             leaves += updates.len().max(1);
-            let atomic = at.0.len() == 2 && !updates.is_empty();
+            // An entry, not a leaf that stands as high.
+            let atomic = at.0.len() == 2 && updates.first().is_some_and(|u| u.0 != at);
             let deleted = updates.is_empty();
             told.push(Told { at, deleted, atomic, updates, duplicates });
         }
--- a/crates/gnmi/tests/follow.rs
+++ b/crates/gnmi/tests/follow.rs
@@ -143,6 +143,15 @@
     assert_eq!((told.len(), told[0].atomic, told[0].updates.len()), (1, true, 3));
 }
 
+#[test]
+fn a_leaf_that_stands_as_high_as_an_entry_is_told_as_a_leaf() {
+    // Against an update with an empty path, which a prefix alone would name.
+    let mut tree = Leaves::new();
+    tree.insert(path("/settings/advice"), Value::Uint(1));
+    let told = follows("/settings", Mode::OnChange, &tree).take(0.0, 9);
+    assert_eq!((told.len(), told[0].atomic), (1, false));
+}
+
 #[test]
 fn samples_come_at_their_time_all_or_only_what_has_changed() {
     let leaf = path("/state/list/serial");
