--- a/crates/mail/src/window.rs
+++ b/crates/mail/src/window.rs
@@ -3,7 +3,6 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
-use event_listener::Event as Bell;
 use ironstair::{Mandate, Ms};
 use ironstair_tree::state::Snapshot;
 use std::sync::Arc;
@@ -34,25 +33,63 @@
     pub in_service: bool,
 }
 
-/// The last view, and a bell that rings with each.
+/// Where the last view lies, taken and put without a lock.
+pub trait Slot {
+    fn put(&self, view: Arc<Snapshot>);
+    fn get(&self) -> Arc<Snapshot>;
+}
+
+/// Who waits from before it rings hears it.
+pub trait Bell {
+    type Wait;
+    fn waiting(&self) -> Self::Wait;
+    fn ring(&self);
+}
+
+impl Slot for ArcSwap<Snapshot> {
+    fn put(&self, view: Arc<Snapshot>) {
+        self.store(view);
+    }
+    fn get(&self) -> Arc<Snapshot> {
+        self.load_full()
+    }
+}
+
+impl Bell for event_listener::Event {
+    type Wait = event_listener::EventListener;
+    fn waiting(&self) -> Self::Wait {
+        self.listen()
+    }
+    fn ring(&self) {
+        self.notify(usize::MAX);
+    }
+}
+
+/// The last view, and a bell that rings with each. Slot and bell are handed in, so that every order of reader and
+/// writer can be played in tests.
 #[derive(Default)]
-pub struct Window {
-    latest: ArcSwap<Snapshot>,
-    bell: Bell,
+pub struct Window<S = ArcSwap<Snapshot>, B = event_listener::Event> {
+    latest: S,
+    bell: B,
 }
 
-impl Window {
+impl<S: Slot, B: Bell> Window<S, B> {
+    pub fn of(latest: S, bell: B) -> Self {
+        Window { latest, bell }
+    }
+
+    /// Puts the view before it rings: who hears the bell finds it.
     pub fn show(&self, view: Snapshot) {
-        self.latest.store(Arc::new(view));
-        self.bell.notify(usize::MAX);
+        self.latest.put(Arc::new(view));
+        self.bell.ring();
     }
 
     pub fn latest(&self) -> Arc<Snapshot> {
-        self.latest.load_full()
+        self.latest.get()
     }
 
     /// A wait that begins now: taken before a view is asked for, its ring can't be missed.
-    pub fn waiting(&self) -> event_listener::EventListener {
-        self.bell.listen()
+    pub fn waiting(&self) -> B::Wait {
+        self.bell.waiting()
     }
 }
