Journals cut at every byte of a file, keys taken without a signal, nothing runs without the file

A start runs the last whole revision at every cut and says so in one line, and the next start finds it whole. Threads and descriptors are counted with and without the operator's file; JSON lines of the log have ts, level, msg and gateway.

--- a/crates/gateway/tests/manage.rs
+++ b/crates/gateway/tests/manage.rs
@@ -536,6 +536,13 @@
         tokio::time::sleep(Duration::from_millis(200)).await;
         let mut c = connected(secured(at, &new, &renewed)).await;
         set(&mut c, "/settings/advice", json!(60)).await.unwrap();
+        // And files that change are taken without a signal.
+        put(&dir, &old.signs("gateway", Some(at.ip()), false), &old.1);
+        let late = Instant::now() + Duration::from_secs(20);
+        while !let_in(at, &old, &ops).await {
+            assert!(Instant::now() < late, "changed files are not taken");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
     });
 }
 
@@ -929,3 +936,53 @@
     gateway.again();
     assert_eq!(gateways(&rt), json!(8), "and so it stays");
 }
+
+/// Threads and descriptors of a process.
+fn holds(pid: u32) -> (usize, usize) {
+    let count = |what: &str| std::fs::read_dir(format!("/proc/{pid}/{what}")).unwrap().count();
+    (count("task"), count("fd"))
+}
+
+#[test]
+fn without_the_operators_file_nothing_of_management_runs() {
+    let with = managed("holds-with", &[]);
+    let (told, roster) = told(1, classes(), &[]);
+    let without = started("holds-without", told, roster, None);
+    Client::of(&with.0).ask(1);
+    Client::of(&without).ask(1);
+    runtime().block_on(async { get(&mut client(with.1).await, "/settings").await.unwrap() });
+    let (with, without) = (holds(with.0.process.id()), holds(without.process.id()));
+    // One thread for the gateway, one each for the log and for async-io.
+    assert!(without.0 <= 3 && with.0 > without.0, "{without:?} {with:?}");
+    assert!(with.1 > without.1, "{without:?} {with:?}");
+}
+
+#[test]
+fn the_log_as_json_lines_has_stable_keys() {
+    let (told, roster) = told(1, classes(), &[]);
+    let gateway = started("log-json", told, roster, None);
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_ironstair"))
+        .args(["serve", "--log", "json"])
+        .arg(gateway.dir.join("other.json"))
+        .output()
+        .unwrap();
+    assert!(String::from_utf8_lossy(&out.stderr).starts_with("ironstair: "), "no file, one sentence");
+    let mut v: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(gateway.dir.join("told.json")).unwrap()).unwrap();
+    v["listen"] = json!(own_address().to_string());
+    std::fs::write(gateway.dir.join("other.json"), v.to_string()).unwrap();
+    let mut serve = std::process::Command::new(env!("CARGO_BIN_EXE_ironstair"));
+    let serve = serve.args(["serve", "--log", "json"]).arg(gateway.dir.join("other.json"));
+    let mut process = serve.stderr(std::process::Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    let mut log = std::io::BufReader::new(process.stderr.take().unwrap());
+    std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+    process.kill().unwrap();
+    process.wait().unwrap();
+    let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert_eq!(
+        (&line["msg"], &line["level"], &line["gateway"]),
+        (&json!("serving"), &json!("INFO"), &json!("n0"))
+    );
+    assert!(line["ts"].is_string() && line["on"].is_string(), "{line}");
+}
--- /dev/null
+++ b/crates/manage/tests/journal.rs
@@ -0,0 +1,95 @@
+//! A journal's file, cut at every byte of its last records by a kill in the middle of a write: the start after it.
+
+use ironstair::{Kind, Mandate, Terms};
+use ironstair_change::journal::{encode, Kept, Line, Record};
+use ironstair_change::revisions::Standing;
+use ironstair_change::{Document, Frame};
+use ironstair_manage::{open, Journal};
+use std::path::Path;
+
+fn told() -> (Mandate, Vec<String>, Vec<f64>, Frame) {
+    let terms = Terms { expected: 1000.0, payoff: 1.0, threads: 1.0, ..Terms::default() };
+    let mandate = Mandate {
+        gateways: 2.0,
+        bands: vec![terms],
+        kinds: vec![Kind { cores: 8.0, memory_mb: 1.0 }],
+        most_forwards: 4,
+        cold_from: 0.3,
+        warm_after: 15e3,
+        fall_multiple: 4.0,
+        fall_span: 1e3,
+        ..Mandate::default()
+    };
+    let frame = Frame { zones: vec!["a".into()], kinds: vec!["m".into()] };
+    (mandate, vec!["lookup".into()], vec![5e3], frame)
+}
+
+fn advice_after(folder: &Path) -> (u32, Vec<String>) {
+    let (mandate, names, limits, frame) = told();
+    let started = open(mandate, &names, &limits, frame, Some(folder)).unwrap();
+    // What the decision module begins with is what the ledger says runs.
+    assert_eq!(started.mandate().come_back_most, started.ledger.running().advice as f64);
+    (started.ledger.running().advice, started.notes)
+}
+
+fn set(number: u64, advice: u32, standing: Standing, base: &Document) -> Record<Document> {
+    let (who, what) = ("op".to_string(), String::new());
+    let line = Line { number, who, when: 1e12, what, standing, commit: None, until: None };
+    Record::Set { line, document: Document { advice, ..base.clone() } }
+}
+
+#[test]
+fn cut_at_every_byte_of_its_last_records_a_start_runs_the_last_whole_revision() {
+    let (mandate, names, limits, frame) = told();
+    let base = Document::told(&mandate, &names, &limits, &frame);
+    let records = [
+        Record::Whole(Kept::told(base.clone())),
+        set(1, 10, Standing::Running, &base),
+        set(2, 20, Standing::Unconfirmed, &base),
+        Record::Confirmed { number: 2 },
+        set(3, 30, Standing::Unconfirmed, &base),
+    ];
+    // What runs once so many of them are whole: an unconfirmed one never does.
+    let runs = [0, 0, 10, 10, 20, 20];
+    let parts: Vec<Vec<u8>> = records.iter().map(|r| encode(r).unwrap()).collect();
+    let all = parts.concat();
+    let from = parts[0].len() + parts[1].len() - 3;
+    let folder = tempfile::tempdir().unwrap();
+    for cut in (0..40).chain(from..=all.len()) {
+        std::fs::write(folder.path().join("revisions.journal"), &all[..cut]).unwrap();
+        let whole = (0..=5).rev().find(|&n| parts[..n].concat().len() <= cut).unwrap();
+        let (advice, notes) = advice_after(folder.path());
+        assert_eq!(advice, runs[whole], "{cut}");
+        let torn = parts[..whole].concat().len() < cut;
+        let lines = notes.iter().filter(|n| n.contains("left out")).count();
+        assert_eq!(lines, torn as usize, "one line, at {cut}: {notes:?}");
+        // The start wrote it anew: the next one finds it whole and the same.
+        let (again, notes) = advice_after(folder.path());
+        assert_eq!((again, notes.iter().any(|n| n.contains("left out"))), (advice, false), "{cut}");
+    }
+}
+
+#[test]
+fn a_journal_goes_on_after_a_start_and_is_written_anew_when_it_grows() {
+    let (mandate, names, limits, frame) = told();
+    let base = Document::told(&mandate, &names, &limits, &frame);
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = Journal::begin(folder.path(), &Kept::told(base.clone())).unwrap();
+    let mut number = 0;
+    while !journal.wants_anew() {
+        number += 1;
+        journal.append(&set(number, number as u32, Standing::Running, &base)).unwrap();
+        assert!(number < 1000, "no bound");
+    }
+    assert_eq!(advice_after(folder.path()).0, number as u32);
+    let (records, torn) = Journal::read(folder.path()).unwrap();
+    assert_eq!((records.len(), torn), (1, None), "whole again");
+}
+
+#[test]
+fn what_is_told_and_does_not_fit_the_tree_is_refused_by_its_field() {
+    let (mut mandate, names, limits, frame) = told();
+    mandate.bands[0].payoff = 0.0;
+    let why = open(mandate, &names, &limits, frame, None).err().unwrap();
+    assert!(why.contains("/settings/band[name=lookup]/payoff: 0.0 is outside"), "{why}");
+}
