Choices of management stand in modules of their own: roles, target's mode, time to confirm

Need: no decision in an adapter. Who may do what, how the target samples and how long a change waits to be confirmed move out of the code that carries them; a new duration for a commit is tested over the wire too.

--- a/crates/change/src/revisions.rs
+++ b/crates/change/src/revisions.rs
@@ -12,6 +12,24 @@
 /// Revisions that are remembered.
 pub const REMEMBERED: usize = 32;
 
+/// How long a change waits to be confirmed where its client does not say, and the least and most that may be said:
+/// less is over before a person has looked, more is forgotten.
+const CONFIRM_WITHIN: Ms = 600_000.0;
+const CONFIRM_LEAST: Ms = 1000.0;
+const CONFIRM_MOST: Ms = 86_400_000.0;
+
+/// The time in ms within which a change is to be confirmed, from what its client asks for.
+///
+/// # Errors
+/// It is out of bounds, as a sentence's end.
+pub fn confirm_within(asked: Option<Ms>) -> Result<Ms, String> {
+    let span = asked.unwrap_or(CONFIRM_WITHIN);
+    if (CONFIRM_LEAST..=CONFIRM_MOST).contains(&span) {
+        return Ok(span);
+    }
+    Err(format!("is outside {} s to {} s", CONFIRM_LEAST / 1000.0, CONFIRM_MOST / 1000.0))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Standing {
--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -5,6 +5,7 @@
 use async_channel::{Receiver, Sender};
 use ironstair::Ms;
 use ironstair_gnmi::keys::Files;
+use ironstair_gnmi::roles::Roles;
 use ironstair_gnmi::serve::{self, Keys};
 use ironstair_gnmi::Service;
 use ironstair_mail::clock::Clock;
@@ -49,8 +50,7 @@
         certificate: t.certificate.clone(),
         key: t.key.clone(),
         clients: t.clients.clone(),
-        change: t.change.clone(),
-        read: t.read.clone(),
+        roles: Roles { change: t.change.clone(), read: t.read.clone() },
     }
 }
 
--- a/crates/gateway/tests/manage.rs
+++ b/crates/gateway/tests/manage.rs
@@ -378,7 +378,7 @@
     std::fs::write(&journal, &bytes[..bytes.len() - 7]).unwrap();
     gateway.again();
     assert_eq!(value(&rt), json!(700));
-    // And one that is taken back in time by itself.
+    // And one that is taken back in time by itself, its time made longer once.
     rt.block_on(async {
         let mut c = client(at).await;
         let request = gnmi::SetRequest {
@@ -387,7 +387,13 @@
             ..Default::default()
         };
         c.set(request).await.unwrap();
+        let rollback_duration = Some(prost_types::Duration { seconds: 2, nanos: 0 });
+        let longer = gnmi_ext::CommitSetRollbackDuration { rollback_duration };
+        let extension = commit("c3", Action::SetRollbackDuration(longer));
+        c.set(gnmi::SetRequest { extension, ..Default::default() }).await.unwrap();
         tokio::time::sleep(Duration::from_millis(1300)).await;
+        assert_eq!(get(&mut c, expected).await.unwrap(), json!(500));
+        tokio::time::sleep(Duration::from_millis(1000)).await;
         assert_eq!(get(&mut c, expected).await.unwrap(), json!(700));
     });
 }
--- a/crates/gnmi/src/follow.rs
+++ b/crates/gnmi/src/follow.rs
@@ -23,6 +23,23 @@
     },
 }
 
+/// The tree is looked at no oftener, and samples are no rarer than once a day.
+pub const SAMPLE_LEAST: Ms = 100.0;
+pub const SAMPLE_MOST: Ms = 86_400_000.0;
+/// Samples of the state where the choice is the target's.
+const TARGET_SAMPLES: Ms = 1000.0;
+
+impl Mode {
+    /// The target's own choice: settings on change, since they change seldom and each counts; of the state, whose
+    /// counters never rest, samples of what has changed.
+    pub fn chosen(wanted: &Pattern) -> Mode {
+        match wanted.0.first() {
+            Some(Wanted::Step { name: Some(name), .. }) if **name == *"settings" => Mode::OnChange,
+            _ => Mode::Sample { every: TARGET_SAMPLES, changed_only: true },
+        }
+    }
+}
+
 /// One subscription of a stream.
 #[derive(Clone, Debug)]
 pub struct Subscription {
--- a/crates/gnmi/src/keys.rs
+++ b/crates/gnmi/src/keys.rs
@@ -1,6 +1,6 @@
 //! Keys, certificates and who clients are by theirs: replaced while connections that were made with the old ones go on.
 
-use crate::service::Who;
+use crate::roles::Roles;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use rustls::server::WebPkiClientVerifier;
@@ -13,15 +13,14 @@
 /// A key file or a bundle beyond this is none.
 const FILE_MOST: u64 = 1 << 20;
 
-/// Where keys are, and which subjects may do what.
+/// Where keys are, and who may do what.
 #[derive(Clone, Debug)]
 pub struct Files {
     pub certificate: PathBuf,
     pub key: PathBuf,
     /// The authority that signs clients' certificates.
     pub clients: PathBuf,
-    pub change: Vec<String>,
-    pub read: Vec<String>,
+    pub roles: Roles,
 }
 
 /// The files as they were at one time.
@@ -79,19 +78,10 @@
         server.alpn_protocols = vec![b"h2".to_vec()];
         Ok(Arc::new(server))
     }
-
-    /// Who a client is by the names in its certificate, and what that may do; none may do nothing.
-    pub fn who(&self, certificate: &[u8]) -> Option<Who> {
-        let names = names(certificate);
-        let first = |roles: &[String]| names.iter().find(|n| roles.iter().any(|r| fits(r, n))).cloned();
-        let changer = first(&self.change);
-        let may_change = changer.is_some();
-        changer.or_else(|| first(&self.read)).map(|name| Who { name, may_change })
-    }
 }
 
 /// The subject's common names, then its alternative names.
-fn names(certificate: &[u8]) -> Vec<String> {
+pub fn names(certificate: &[u8]) -> Vec<String> {
     let Ok((_, c)) = X509Certificate::from_der(certificate) else { return Vec::new() };
     let common = c.subject().iter_common_name().filter_map(|n| n.as_str().ok().map(String::from));
     let mut all: Vec<String> = common.collect();
@@ -103,22 +93,3 @@
     }
     all
 }
-
-/// Whether a name is of a role: the same, or with `*` at the role's end, the same up to there.
-fn fits(role: &str, name: &str) -> bool {
-    match role.strip_suffix('*') {
-        Some(stem) => name.starts_with(stem),
-        None => role == name,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_role_is_a_name_or_the_beginning_of_names() {
-        assert!(fits("ops-*", "ops-1") && fits("*", "x") && fits("ops", "ops"));
-        assert!(!fits("ops", "ops-1") && !fits("ops-*", "op") && !fits("", "x"));
-    }
-}
--- a/crates/gnmi/src/lib.rs
+++ b/crates/gnmi/src/lib.rs
@@ -1,11 +1,12 @@
 //! gNMI before a gateway's tree.
 //!
 //! [`service`] answers Capabilities, Get and Set, [`subscribe`] streams; [`follow`] decides what a subscriber is sent
-//! and when it is cut off, and [`masters`] who of several may change, both without input or output.
+//! and when it is cut off, [`masters`] and [`roles`] who may change, all three without input or output.
 
 pub mod follow;
 pub mod keys;
 pub mod masters;
+pub mod roles;
 pub mod serve;
 pub mod service;
 pub mod subscribe;
--- a/crates/gnmi/src/serve.rs
+++ b/crates/gnmi/src/serve.rs
@@ -1,6 +1,6 @@
 //! The listener: connections, their bounds, and who is at their other end.
 
-use crate::keys::Files;
+use crate::keys::{names, Files};
 use crate::proto::gnmi::g_nmi_server::GNmiServer;
 use crate::service::{Service, Who};
 use ironstair_mail::clock::span;
@@ -204,7 +204,7 @@
     let shaken = timeout(KNOWN_WITHIN, keys.acceptor().accept(stream)).await;
     let stream = shaken.map_err(|_| "no handshake in time")?.map_err(|e| e.to_string())?;
     let certificate = stream.get_ref().1.peer_certificates().and_then(|c| c.first());
-    let who = certificate.and_then(|c| keys.files.who(c));
+    let who = certificate.and_then(|c| keys.files.roles.who(&names(c)));
     let who = who.ok_or("its certificate names nobody who may read or change")?;
     Ok((Way::Tls(Box::new(stream)), who))
 }
--- a/crates/gnmi/src/service.rs
+++ b/crates/gnmi/src/service.rs
@@ -7,7 +7,7 @@
 use crate::proto::gnmi_ext::{commit::Action, extension::Ext, Commit, Extension};
 use crate::words::{self, Written};
 use ironstair::Ms;
-use ironstair_change::revisions::{Ask, Refusal};
+use ironstair_change::revisions::{confirm_within, Ask, Refusal};
 use ironstair_manage::{Desk, Refused};
 use ironstair_tree::leaves::{nodes, select};
 use ironstair_tree::path::Wanted;
@@ -19,10 +19,6 @@
 pub const VERSION: &str = "0.10.0";
 /// Paths in one request.
 pub const PATHS_MOST: usize = 256;
-/// How long a change waits to be confirmed where its client does not say, and the least and most that may be said.
-const CONFIRM_WITHIN: Ms = 600_000.0;
-const CONFIRM_LEAST: Ms = 1000.0;
-const CONFIRM_MOST: Ms = 86_400_000.0;
 /// Bytes of a commit's id.
 const ID_MOST: usize = 128;
 
@@ -100,14 +96,9 @@
     Ok((commit, master))
 }
 
-fn confirm_within(d: Option<&prost_types::Duration>) -> Result<Ms, Status> {
-    let Some(d) = d else { return Ok(CONFIRM_WITHIN) };
-    let ms = d.seconds as f64 * 1000.0 + d.nanos as f64 / 1e6;
-    if (CONFIRM_LEAST..=CONFIRM_MOST).contains(&ms) {
-        return Ok(ms);
-    }
-    let (least, most) = (CONFIRM_LEAST / 1000.0, CONFIRM_MOST / 1000.0);
-    Err(Status::invalid_argument(format!("rollback_duration is outside {least} s to {most} s")))
+fn span(d: Option<&prost_types::Duration>) -> Result<Ms, Status> {
+    let asked = d.map(|d| d.seconds as f64 * 1000.0 + d.nanos as f64 / 1e6);
+    confirm_within(asked).map_err(|why| Status::invalid_argument(format!("rollback_duration {why}")))
 }
 
 /// What a change is remembered by: its paths, shortened.
@@ -296,7 +287,7 @@
         }
         let ask = match &commit.action {
             Some(Action::Commit(c)) => {
-                let span = confirm_within(c.rollback_duration.as_ref()).map_err(Wrong::Status)?;
+                let span = span(c.rollback_duration.as_ref()).map_err(Wrong::Status)?;
                 if edits.is_empty() {
                     return Err(wrong("a commit without a change"));
                 }
@@ -307,7 +298,7 @@
             Some(Action::Confirm(_)) => Ask::Confirm { id },
             Some(Action::Cancel(_)) => Ask::Cancel { id },
             Some(Action::SetRollbackDuration(d)) => {
-                let span = confirm_within(d.rollback_duration.as_ref()).map_err(Wrong::Status)?;
+                let span = span(d.rollback_duration.as_ref()).map_err(Wrong::Status)?;
                 Ask::Extend { id, span }
             }
             None => return Err(wrong("a commit extension that asks for nothing")),
--- a/crates/gnmi/src/subscribe.rs
+++ b/crates/gnmi/src/subscribe.rs
@@ -1,13 +1,12 @@
 //! Subscriptions: each stream is a task that follows the tree and hands on what its reader has room for.
 
-use crate::follow::{Cut, Follow, Mode, Subscription, Told, SILENCE};
+use crate::follow::{Cut, Follow, Mode, Subscription, Told, SAMPLE_LEAST, SAMPLE_MOST, SILENCE};
 use crate::proto::gnmi::{self, subscribe_request::Request as Asked, subscribe_response::Response as Sent};
 use crate::proto::gnmi::{subscription_list, SubscribeRequest, SubscribeResponse, SubscriptionMode};
 use crate::service::{nanos, Service};
 use crate::words::{self, Written};
 use ironstair::Ms;
 use ironstair_mail::clock::{span, Clock};
-use ironstair_tree::path::Wanted;
 use ironstair_tree::{Path, Pattern};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -19,11 +18,6 @@
 
 /// Subscriptions of one stream.
 const SUBSCRIPTIONS_MOST: usize = 64;
-/// The tree is looked at no oftener.
-const SAMPLE_LEAST: Ms = 100.0;
-const SAMPLE_MOST: Ms = 86_400_000.0;
-/// What the target chooses where it is asked to: settings on change, state as samples of what has changed.
-const TARGET_SAMPLES: Ms = 1000.0;
 /// Leaves of one message.
 const LEAVES_MOST: usize = 512;
 
@@ -84,13 +78,7 @@
         Ok(SubscriptionMode::OnChange) => Mode::OnChange,
         Ok(SubscriptionMode::Sample) if s.sample_interval == 0 => sample(SAMPLE_LEAST),
         Ok(SubscriptionMode::Sample) => sample(interval(s.sample_interval, "sample_interval")?),
-        Ok(SubscriptionMode::TargetDefined) => {
-            let state = |w: &Wanted| matches!(w, Wanted::Step { name: Some(n), .. } if **n == *"settings");
-            match wanted.0.first().is_some_and(state) {
-                true => Mode::OnChange,
-                false => Mode::Sample { every: TARGET_SAMPLES, changed_only: true },
-            }
-        }
+        Ok(SubscriptionMode::TargetDefined) => Mode::chosen(&wanted),
         Err(_) => return Err(Status::invalid_argument(format!("mode {} is unknown", s.mode))),
     };
     Ok(Subscription::new(wanted, mode, heartbeat))
