A band out of service does not keep the weights from heeding work

Cause: weights heed work only once that of every band is known. A band that was taken out before a restart gets no submission after it, so that weights would have gone by payoff alone for good. Bands out of service are left out of that question; with none of them every decision is as before. The test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -513,7 +513,8 @@
 
     /// Payoff for the work it takes; until that is known, payoff.
     fn weight(&self, b: usize) -> f64 {
-        let known = self.bands.iter().all(|b| b.work.mean().is_some());
+        let mut bands = self.bands.iter().zip(&self.m.bands);
+        let known = bands.all(|(band, terms)| terms.closed || band.work.mean().is_some());
         self.m.bands[b].payoff / if known { self.usual_work(b) } else { 1.0 }
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -364,3 +364,14 @@
         assert_eq!(sheet.forwards().len(), again, "{then} {now}");
     }
 }
+
+#[test]
+fn a_band_out_of_service_from_the_start_does_not_keep_the_weights_from_heeding_work() {
+    // Against a restart with a band that was taken out before: nothing ever comes of it.
+    let mut m = two_bands();
+    m.bands.push(Terms { closed: true, ..band(1.0, 1.0, Repeat::Repeatable) });
+    let mut g = start(m, 2);
+    send(&mut g, 1.0, 0, ask(0, 100.0));
+    send(&mut g, 1.0, 1, ask(1, 4000.0));
+    assert_eq!((0..2).map(|b| g.band_view(b).unwrap().weight).collect::<Vec<_>>(), [0.01, 0.0015]);
+}
