The module knows cells: placement, paces, lines and the first in line by them

Need: trouble of one cell must not leak through what the module keeps for a whole band. Engines and submissions carry bits of cells; a place is allowed where they meet. The fleet's pace of a band, a line's length and the first in line go by cells. The referee sees cells among its generated events; each of the four guards taken out fails a test (placement, first in line, pace, length).

--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -362,7 +362,7 @@
             hands.engines.resize_with(engine + 1, || None);
         }
         let Place { zone, kind, cell, standing, since, address } = place;
-        listed.push(Listed { engine, id, zone, kind, cell, standing, since });
+        listed.push(Listed { engine, id, zone, kind, cell, cells: 0, standing, since });
         let known = &mut hands.engines[engine];
         // Another process by now, maybe elsewhere.
         let anew = |e: &Known| e.place.address != address || (e.place.since - since).abs() >= 1.0;
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -235,7 +235,7 @@
                     return Err(format!("class {band} is not among those of the start message"));
                 }
                 let later_try = flags & 2 != 0;
-                let of = Submission { band, key, left, work, memory_mb, tables, later_try };
+                let of = Submission { band, key, left, work, memory_mb, tables, cells: 0, later_try };
                 let s = submissions.admit(id);
                 gateway.take(now, s, of, pen!());
             }
@@ -263,7 +263,7 @@
                     l.f32("weight")?;
                     let since = ms(l.u64("start")?);
                     let (engine, id) = (engines.admit(address), u64::from_le_bytes(id));
-                    lines.push(Listed { engine, id, zone, kind, cell, standing, since });
+                    lines.push(Listed { engine, id, zone, kind, cell, cells: 0, standing, since });
                 }
                 gateway.roster(now, mode != 0, &lines, pen!());
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -123,6 +123,8 @@
     pub zone: u16,
     pub kind: u16,
     pub cell: u16,
+    /// Cells that it is in, a bit for each.
+    pub cells: u64,
     pub standing: Standing,
     /// Latest start; zero when long past.
     pub since: Ms,
@@ -136,6 +138,8 @@
     pub work: Option<Ms>,
     pub memory_mb: f64,
     pub tables: u64,
+    /// Cells whose engines it may go to, a bit for each; none for anywhere.
+    pub cells: u64,
     /// Marked by its client as a later try.
     pub later_try: bool,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,9 @@
 //! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`] from
 //! what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
-//! `report`, `progress`, `left` or `due`, by `amend` when its terms change, by `ending` when it will end. Each call notes what is new and
-//! goes through `RULES` in order, from the top again after one that fired, until none does. Actions leave
-//! through [`Outlet`] at once. lib.rs has that and the types that cross; door.rs makes the indices used here.
+//! `report`, `progress`, `left` or `due`, by `amend` when its terms change, by `ending` when it will end.
+//! Each call notes what is new and goes through `RULES` in order, from the top again after one that fired,
+//! until none does. Actions leave through [`Outlet`] at once. lib.rs has that and the types that cross;
+//! door.rs makes the indices used here.
 
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::collections::{BTreeMap, VecDeque};
@@ -170,7 +171,7 @@
     started: f64,
     work: Fade,
     bias: Fade,
-    fleet: Fade,
+    fleet: BTreeMap<u64, Fade>, // by the cells of the engines that it was learnt from
     best: f64,
     longest_left: Ms,
     learnt: Ms,
@@ -225,9 +226,9 @@
         self.m = m;
     }
 
-    /// Other terms for the same bands, and maybe further bands behind them. What was taken before keeps its hard
-    /// limit, its expected time and its order, and of the old terms and the new the stricter. What was counted
-    /// stays counted.
+    /// Other terms for the same bands, and maybe further bands behind them. What was taken before keeps its
+    /// hard limit, its expected time and its order, and of the old terms and the new the stricter. What was
+    /// counted stays counted.
     pub fn amend(&mut self, now: Ms, m: Mandate, out: &mut dyn Outlet) {
         let before = self.bands.len();
         self.adopt(m);
@@ -336,7 +337,8 @@
             s.work = work.max(1.0);
         }
         let (work, open, in_time, blind) = (s.work, s.open, now <= s.aim, self.blind);
-        let usual = self.service(b, work);
+        let cells = s.of.cells;
+        let usual = self.service(b, cells, work);
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
         match what {
@@ -420,7 +422,7 @@
             let elapsed = now - f.sent;
             if elapsed > within(&s.under, s.work) {
                 let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
-                let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.work);
+                let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.of.cells, s.work);
                 let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
                 let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
                 self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
@@ -459,7 +461,7 @@
     // in the order until one has room. Silence counts as full, so that a hung engine is passed over.
     fn probe(&mut self, out: &mut dyn Outlet) -> bool {
         for b in (0..self.bands.len()).filter(|&b| self.probes >= 1.0 && self.asks && self.heavy(b)) {
-            let Some(sub) = self.first_in(b) else { continue };
+            let Some(&sub) = self.firsts_in(b).first() else { continue };
             let (s, known) = (&self.subs[sub], |i: &usize| self.engines[*i].reported(self.now));
             let full = |i: &usize| known(i).is_none_or(|r| !self.enters(s, &self.engines[*i], r));
             if let Some(i) = self.order(s).into_iter().take_while(full).find(|i| known(i).is_none()) {
@@ -472,15 +474,16 @@
         false
     }
 
-    // Lowest charged work over weight first; if its submission fits nowhere, the next band's.
+    // Lowest charged work over weight first; if that fits nowhere, the next cell's, then the next band's.
     fn release(&mut self, out: &mut dyn Outlet) -> bool {
         let mut order: Vec<usize> = (0..self.bands.len()).collect();
         order.sort_by(|&a, &b| self.charge(a).total_cmp(&self.charge(b)));
         for b in order {
-            let Some(sub) = self.first_in(b) else { continue };
-            if let Some(engine) = self.place(sub) {
-                self.forward(sub, engine, out);
-                return true;
+            for sub in self.firsts_in(b) {
+                if let Some(engine) = self.place(sub) {
+                    self.forward(sub, engine, out);
+                    return true;
+                }
             }
         }
         false
@@ -492,9 +495,14 @@
             let hopeless = |i: &usize| {
                 let s = &self.subs[*i];
                 s.forwards > 0 && !self.may_forward_again(s)
-                    || self.now + self.service(b, s.work) > s.aim.min(s.limit)
+                    || self.now + self.service(b, s.of.cells, s.work) > s.aim.min(s.limit)
             };
-            let full = line.last().filter(|_| line.len() > self.room(b));
+            // Against a cell whose line would turn back what others could still take.
+            let full = line.last().filter(|&&i| {
+                let cells = self.subs[i].of.cells;
+                let same = |i: &&usize| self.subs[**i].of.cells == cells;
+                line.iter().filter(same).count() > self.room(b, cells)
+            });
             if let Some(i) = full.or(line.iter().find(|i| hopeless(i))).copied() {
                 return self.end(i, self.m.come_back_most, out);
             }
@@ -532,12 +540,22 @@
         of.key != 0 && self.m.bands[of.band].in_order
     }
 
-    /// Smallest work first among those that can still make their expected time.
-    fn first_in(&self, b: usize) -> Option<usize> {
-        let late = |s: &Taken| self.now + self.service(b, s.work) > s.aim;
+    /// Smallest work first among those that can still make their expected time; the first for each set of
+    /// cells, in that order, against one that waits for its cell and holds up all others.
+    fn firsts_in(&self, b: usize) -> Vec<usize> {
+        let late = |s: &Taken| self.now + self.service(b, s.of.cells, s.work) > s.aim;
         let rank = |i: usize| (late(&self.subs[i]), self.subs[i].work);
-        let line = self.bands[b].line.iter().copied().filter(|&i| self.may_go(i));
-        line.min_by(|&x, &y| rank(x).partial_cmp(&rank(y)).unwrap_or(std::cmp::Ordering::Equal))
+        let less = |x: usize, y: usize| rank(x).partial_cmp(&rank(y)).unwrap_or(std::cmp::Ordering::Equal);
+        let mut firsts: Vec<usize> = Vec::new();
+        for i in self.bands[b].line.iter().copied().filter(|&i| self.may_go(i)) {
+            match firsts.iter_mut().find(|f| self.subs[**f].of.cells == self.subs[i].of.cells) {
+                Some(first) if less(i, *first).is_lt() => *first = i,
+                Some(_) => {}
+                None => firsts.push(i),
+            }
+        }
+        firsts.sort_by(|&x, &y| less(x, y));
+        firsts
     }
 
     fn may_go(&self, sub: usize) -> bool {
@@ -574,9 +592,10 @@
 
     fn learn(&mut self, engine: usize, b: usize, spent: Ms, done: Ms) {
         let (now, usual) = (self.now, self.usual_work(b));
-        let (pace, band) = (&mut self.engines[engine].pace[b], &mut self.bands[b]);
+        let (e, band) = (&mut self.engines[engine], &mut self.bands[b]);
+        let pace = &mut e.pace[b];
         pace.add(now, HALF, spent, done);
-        band.fleet.add(now, HALF, spent, done);
+        band.fleet.entry(e.listed.cells).or_default().add(now, HALF, spent, done);
         // A lucky second, or a guess of work since corrected, must not mean pressure for good.
         let forgotten = band.best * 2f64.powf((now - band.learnt) / FORGOTTEN);
         let best = pace.mean().filter(|_| pace.weight > ENOUGH * usual);
@@ -586,12 +605,21 @@
     /// The pace of an engine in a band: time on its threads over work. It leans to the fleet's where little
     /// is known, and that to the best: one heavy query is no jam, and a jam not heard of may be over.
     fn pace(&self, e: &Engine, b: usize) -> f64 {
-        self.leaning(&e.pace[b], b, self.fleet_pace(b))
+        self.leaning(&e.pace[b], b, self.fleet_pace(b, e.listed.cells))
     }
 
-    fn fleet_pace(&self, b: usize) -> f64 {
+    /// Of the engines in those cells: against a slow cell that makes the waits of others seem hopeless.
+    fn fleet_pace(&self, b: usize, cells: u64) -> f64 {
         let best = Some(self.bands[b].best).filter(|p| p.is_finite()).unwrap_or(1.0);
-        self.leaning(&self.bands[b].fleet, b, best)
+        let mut all = self.bands[b].fleet.iter().filter(|f| cells == 0 || f.0 & cells != 0).map(|f| *f.1);
+        let mut fleet = all.next().unwrap_or_default();
+        for f in all {
+            // Brought to the same time before they are added up.
+            fleet.add(self.now, HALF, 0.0, 0.0);
+            let weight = f.weight(self.now, HALF);
+            fleet.add(self.now, HALF, f.mean().map_or(0.0, |m| m * weight), weight);
+        }
+        self.leaning(&fleet, b, best)
     }
 
     fn leaning(&self, pace: &Fade, b: usize, to: f64) -> f64 {
@@ -611,14 +639,15 @@
     }
 
     /// How long a submission would take now at the fleet's pace.
-    fn service(&self, b: usize, work: Ms) -> Ms {
-        work / self.m.bands[b].threads * self.fleet_pace(b)
+    fn service(&self, b: usize, cells: u64, work: Ms) -> Ms {
+        work / self.m.bands[b].threads * self.fleet_pace(b, cells)
     }
 
     /// A line longer than this gateway's share of the fleet can work off in the expected time is full.
-    fn room(&self, b: usize) -> usize {
+    fn room(&self, b: usize, cells: u64) -> usize {
         let (terms, usual) = (&self.m.bands[b], self.usual_work(b));
-        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
+        let here = |e: &&Engine| e.in_use() && (cells == 0 || e.listed.cells & cells != 0);
+        let cores: f64 = self.engines.iter().filter(here).map(|e| e.cores).sum();
         (2.0 * cores * within(terms, usual) / usual / self.m.gateways).max(4.0) as usize
     }
 
@@ -650,7 +679,7 @@
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
-    /// Of a cold engine: the multiple of its capacity that all may send, this gateway's share, and what of it is used.
+    /// Of a cold engine: the multiple of its capacity that all may send, this gateway's share, its use.
     fn cold(&self, e: &Engine) -> Option<(f64, Ms, Ms)> {
         let (m, age) = (&self.m, self.now - e.listed.since);
         if e.listed.since <= 0.0 || age >= m.warm_after {
@@ -683,6 +712,7 @@
                 && t.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
         };
         (fits(terms) && fits(&s.under))
+            && (s.of.cells == 0 || s.of.cells & line.cells != 0)
             && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
             && line.standing == Standing::Ready
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,11 +111,21 @@
 pub fn line(engine: usize) -> Listed {
     let id = 1000 + 7 * engine as u64;
     let (zone, kind, cell) = (engine as u16 % 2, engine as u16 / 2 % 2, engine as u16 / 2);
-    Listed { engine, id, zone, kind, cell, standing: Standing::Ready, since: 0.0 }
+    let cells = 1 << (engine % 3);
+    Listed { engine, id, zone, kind, cell, cells, standing: Standing::Ready, since: 0.0 }
 }
 
 pub fn ask(band: usize, work: Ms) -> Submission {
-    Submission { band, key: 0, left: 3000.0, work: Some(work), memory_mb: 100.0, tables: 3, later_try: false }
+    Submission {
+        band,
+        key: 0,
+        left: 3000.0,
+        work: Some(work),
+        memory_mb: 100.0,
+        tables: 3,
+        cells: 0,
+        later_try: false,
+    }
 }
 
 #[derive(Clone)]
@@ -197,6 +207,7 @@
     fn forward(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
         let (h, line) = (&self.held[i], self.roster[&engine]);
         let (terms, under) = (&self.m.bands[h.of.band], &h.under);
+        breaks!(h.of.cells != 0 && h.of.cells & line.cells == 0, "6: outside its cells");
         breaks!(under.closed, "a band out of service is forwarded");
         breaks!(h.tries.len() >= h.most.min(self.m.most_forwards) as usize, "7: more forwards than allowed");
         breaks!(h.over || now > h.taken + h.of.left, "1: sent after the end");
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -375,3 +375,72 @@
     send(&mut g, 1.0, 1, ask(1, 4000.0));
     assert_eq!((0..2).map(|b| g.band_view(b).unwrap().weight).collect::<Vec<_>>(), [0.01, 0.0015]);
 }
+
+/// Two engines, each in a cell of its own.
+fn two_cells(m: Mandate) -> Gateway {
+    let mut g = Gateway::new(m, 1);
+    let lines: Vec<Listed> = (0..2).map(|e| Listed { cells: 1 << e, ..line(e) }).collect();
+    g.roster(0.0, true, &lines, &mut Sheet::default());
+    g
+}
+
+fn within_cell(nth: u64, work: Ms) -> Submission {
+    Submission { cells: 1 << nth, ..ask(0, work) }
+}
+
+/// Both cells settle quickly at first, then the first one slowly.
+fn press_one(g: &mut Gateway) -> Ms {
+    let (mut now, mut sheet) = (1.0, Sheet::default());
+    for slow in [100.0, 100.0, 100.0, 450.0, 450.0, 450.0] {
+        for i in 0..16 {
+            g.take(now, i, within_cell(i as u64 / 8, 100.0), &mut sheet);
+        }
+        (8..16).for_each(|i| g.outcome(now + 100.0, i, Outcome::Settled(None), true, &mut sheet));
+        (0..8).for_each(|i| g.outcome(now + slow, i, Outcome::Settled(None), true, &mut sheet));
+        now += slow + 1.0;
+    }
+    now
+}
+
+#[test]
+fn submissions_go_to_engines_of_their_cells_and_nowhere_else() {
+    let mut g = two_cells(two_bands());
+    for nth in 0..2 {
+        let sent: Vec<_> =
+            (0..6).flat_map(|i| send(&mut g, 1.0, 8 * nth + i, within_cell(nth as u64, 10.0))).collect();
+        assert!(sent.len() == 6 && sent.iter().all(|s| s.1 == nth), "{sent:?}");
+    }
+    let nowhere = send(&mut g, 1.0, 40, Submission { cells: 4, ..ask(0, 10.0) });
+    assert!(nowhere.is_empty());
+    assert_eq!(send(&mut g, 1.0, 41, ask(0, 10.0)).len(), 1, "without cells anywhere");
+}
+
+#[test]
+fn one_that_waits_for_its_cell_holds_up_no_other_cells() {
+    let mut g = two_cells(two_bands());
+    let now = press_one(&mut g);
+    // The first cell is full under pressure; its smallest submission is the band's first.
+    let sent: usize = (0..14).map(|i| send(&mut g, now, i, within_cell(0, 20.0)).len()).sum();
+    assert!(sent < 14, "some wait");
+    assert_eq!(send(&mut g, now, 20, within_cell(1, 100.0)), [(20, 1)]);
+}
+
+#[test]
+fn a_slow_cell_makes_no_waits_of_another_hopeless_and_fills_no_line_but_its_own() {
+    let mut m = two_bands();
+    m.bands[0].expected_stretch = 0.5;
+    let mut g = two_cells(m);
+    let now = press_one(&mut g);
+    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count();
+    let mut sheet = Sheet::default();
+    (0..200).for_each(|i| g.take(now, i, within_cell(0, 100.0), &mut sheet));
+    assert!(backs(&sheet) > 50, "a line of its own is full");
+    // Its engine away for a moment, one of the other cell waits: at its own cell's pace it can make it.
+    let away = Listed { cells: 2, standing: Standing::Draining, ..line(1) };
+    g.roster(now, false, &[away], &mut Sheet::default());
+    let mut sheet = Sheet::default();
+    g.take(now, 200, within_cell(1, 900.0), &mut sheet);
+    assert_eq!((backs(&sheet), sheet.forwards().len()), (0, 0));
+    g.roster(now + 1.0, false, &[Listed { standing: Standing::Ready, ..away }], &mut sheet);
+    assert_eq!(sheet.forwards(), [(200, 1)]);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -90,7 +90,8 @@
                 let band = a as usize % self.referee.m.bands.len();
                 let key = (b % 4) as u64;
                 let left = 400.0 + 10.0 * b as f64;
-                let of = Submission { key, left, tables: b as u64 / 8, ..ask(band, 100.0) };
+                let cells = [0, 0, 1, 2, 5][b as usize % 5];
+                let of = Submission { key, left, cells, tables: b as u64 / 8, ..ask(band, 100.0) };
                 self.referee.took(self.now, slot, of);
                 self.gateway.take(self.now, slot, of, &mut sheet);
             }
