Tenants are confined to cells by the operator's file

Cells, pins, shard and what holds without a ready engine are told in the operator's file; a call may name its tenant, else its table group does. The wire's cell is the mark group in code and tree now, so that the two notions have two names. Off without the file.

--- /dev/null
+++ b/crates/cells/src/keeper.rs
@@ -0,0 +1,83 @@
+//! What one gateway keeps of cells: the assignment, which cells have a ready engine, and what was lent to whom.
+
+use crate::assign::{Assignment, Cells};
+use crate::trouble::{Choice, Goes, Lent};
+use ironstair::Ms;
+use std::collections::BTreeMap;
+
+/// Accounts of tenants whose cells are in trouble; beyond that all begin anew.
+const ACCOUNTS_MOST: usize = 4096;
+
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    assignment: Assignment,
+    choice: Choice,
+    ready: Cells,
+    all: Cells,
+    lent: BTreeMap<u64, Lent>,
+}
+
+impl Keeper {
+    pub fn new(assignment: Assignment, choice: Choice) -> Keeper {
+        let all = (0..assignment.names().len()).map(Cells::one).fold(Cells::default(), Cells::with);
+        Keeper { assignment, choice, ready: Cells::default(), all, lent: BTreeMap::new() }
+    }
+
+    pub fn engine(&self, id: u64) -> Cells {
+        self.assignment.engine(id)
+    }
+
+    /// The names of a set of cells.
+    pub fn names(&self, cells: Cells) -> String {
+        let names = cells.iter().filter_map(|n| self.assignment.names().get(n));
+        names.map(String::as_str).collect::<Vec<_>>().join(" ")
+    }
+
+    /// The roster has changed; `ready` are the ready engines.
+    pub fn roster(&mut self, ready: impl Iterator<Item = u64>) {
+        self.ready = ready.map(|id| self.assignment.engine(id)).fold(Cells::default(), Cells::with);
+        if self.all.without(self.ready).is_empty() {
+            self.lent.clear();
+        }
+    }
+
+    /// Where a submission of the tenant goes. Only tenants in trouble have an account: elsewhere nothing is lent.
+    pub fn goes(&mut self, now: Ms, tenant: u64) -> Goes {
+        let own = self.assignment.tenant(tenant);
+        if own.meets(self.ready) {
+            return Goes::To(own);
+        }
+        if self.lent.len() >= ACCOUNTS_MOST {
+            self.lent.clear();
+        }
+        let account = self.lent.entry(tenant).or_default();
+        account.goes(now, own, self.ready, self.all, self.choice)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tenants_keep_to_their_cells_and_one_in_trouble_to_its_share() {
+        let cells = [("a".to_string(), 1.0), ("b".to_string(), 1.0)];
+        let a = Assignment::new(1, &cells, 1).unwrap();
+        let a = a.pin_engine(1, Some("a")).unwrap().pin_engine(2, Some("b")).unwrap();
+        let a = a.pin_tenant(7, Some(&["a"])).unwrap().pin_tenant(8, Some(&["b"])).unwrap();
+        let mut k = Keeper::new(a, Choice::Lend { share: 0.5 });
+        k.roster([1, 2].into_iter());
+        assert_eq!((k.goes(0.0, 7), k.goes(0.0, 8)), (Goes::To(Cells::one(0)), Goes::To(Cells::one(1))));
+        assert_eq!(k.names(Cells::one(0).with(Cells::one(1))), "a b");
+        k.roster([2].into_iter());
+        let lent = (0..20).filter(|_| k.goes(1.0, 7) == Goes::To(Cells::one(1))).count();
+        assert_eq!((lent, k.goes(1.0, 8)), (10, Goes::To(Cells::one(1))));
+        k.roster([1, 2].into_iter());
+        assert!(k.lent.is_empty() && k.goes(2.0, 7) == Goes::To(Cells::one(0)));
+        k.roster([2].into_iter());
+        for t in 0..3 * ACCOUNTS_MOST as u64 {
+            k.goes(3.0, t);
+        }
+        assert!(k.lent.len() <= ACCOUNTS_MOST);
+    }
+}
--- a/crates/change/src/document.rs
+++ b/crates/change/src/document.rs
@@ -60,7 +60,7 @@
     #[default]
     All,
     Zone,
-    Cell,
+    MarkGroup,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Serialize, Deserialize)]
@@ -197,7 +197,7 @@
             },
             within: match t.repeat {
                 Repeat::Tagged(Within::Zone) => Group::Zone,
-                Repeat::Tagged(Within::Cell) => Group::Cell,
+                Repeat::Tagged(Within::MarkGroup) => Group::MarkGroup,
                 _ => Group::All,
             },
             window: matches!(t.repeat, Repeat::Tagged(_)).then(|| whole(t.window)),
--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -264,6 +264,6 @@
         (Again::OnceOnly, _) => Repeat::OnceOnly,
         (Again::Tagged, Group::All) => Repeat::Tagged(Within::All),
         (Again::Tagged, Group::Zone) => Repeat::Tagged(Within::Zone),
-        (Again::Tagged, Group::Cell) => Repeat::Tagged(Within::Cell),
+        (Again::Tagged, Group::MarkGroup) => Repeat::Tagged(Within::MarkGroup),
     }
 }
--- a/crates/change/tests/plan.rs
+++ b/crates/change/tests/plan.rs
@@ -16,7 +16,7 @@
     };
     let mandate = Mandate {
         gateways: 3.0,
-        bands: vec![terms(1000.25, Repeat::Repeatable), terms(5000.0, Repeat::Tagged(Within::Cell))],
+        bands: vec![terms(1000.25, Repeat::Repeatable), terms(5000.0, Repeat::Tagged(Within::MarkGroup))],
         kinds: vec![Kind { cores: 16.0, memory_mb: 1.0 }],
         most_forwards: 6,
         cold_from: 0.123456,
@@ -74,7 +74,7 @@
     assert_eq!((new.bands[0].zones.clone(), new.gateways), (Some(vec![1]), 4.0));
     assert!(new.ration.is_none() && new.bands[1].closed && !new.bands[0].closed);
     // Out of service it still tells apart what it takes and what may run again.
-    assert_eq!((new.bands[1].repeat, new.bands[1].threads), (Repeat::Tagged(Within::Cell), 2.0));
+    assert_eq!((new.bands[1].repeat, new.bands[1].threads), (Repeat::Tagged(Within::MarkGroup), 2.0));
 }
 
 #[test]
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -10,7 +10,7 @@
 use ironstair::{Ms, Submission};
 use ironstair_mail::pool::{Buffer, Chain, SIZE};
 use ironstair_mail::wait::{time, until, within};
-use ironstair_mail::{Event, Id, Reply, Shared, Taken};
+use ironstair_mail::{number, Event, Id, Reply, Shared, Taken};
 use ironstair_protocol::{rpc, statement};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -299,9 +299,18 @@
             later_try: tries.is_some_and(|t| t > 0.0),
             ..Default::default()
         };
+        let tenant = if self.shared.tenants { p.text("tenant").map(|t| number(&t)) } else { None };
         self.open.borrow_mut().insert(call, id);
         self.place.busy();
-        Ok(Some(Event::Taken(Box::new(Taken { id, call, of, at, statement, client: self.own.clone() }))))
+        Ok(Some(Event::Taken(Box::new(Taken {
+            id,
+            call,
+            of,
+            tenant,
+            at,
+            statement,
+            client: self.own.clone(),
+        }))))
     }
 
     /// None when it is no base64; an error when all buffers are lent.
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -119,7 +119,7 @@
         address: (h.address, h.port).into(),
         zone: index.zone(h.zone),
         kind: index.kind(h.text("kind").unwrap_or_default()),
-        cell: number("cell") as u16,
+        marks: number("cell") as u16,
         standing: if h.priority == 0 { Standing::Ready } else { Standing::Draining },
         since: number("started"),
     }
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -5,11 +5,12 @@
 use async_channel::{Receiver, Sender};
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
-use ironstair::{Listed, Ms, Outcome, Outlet, Submission};
+use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
+use ironstair_cells::{Goes, Keeper};
 use ironstair_mail::pool::Chain;
 use ironstair_mail::wait::next;
 use ironstair_mail::window::{Amendment, Request, Window};
-use ironstair_mail::{Event, Forward, Id, Order, Place, Reply, Shared, Taken};
+use ironstair_mail::{number, Event, Forward, Id, Order, Place, Reply, Shared, Taken};
 use ironstair_tree::state::{self, Counts, Snapshot};
 use slog::info;
 use std::cell::Cell;
@@ -52,10 +53,12 @@
     ends: Ms,
     /// By band, since the start.
     counts: Vec<Counts>,
+    /// Which cells engines and tenants are in, where there are any.
+    cells: Option<Keeper>,
 }
 
 impl Hands {
-    fn new(shared: Rc<Shared>) -> Self {
+    fn new(shared: Rc<Shared>, cells: Option<Keeper>) -> Self {
         Hands {
             now: shared.clock.now(),
             shared,
@@ -67,6 +70,7 @@
             wake: None,
             ends: Ms::INFINITY,
             counts: Vec::new(),
+            cells,
         }
     }
 
@@ -178,11 +182,6 @@
     }
 }
 
-/// Spreads an engine's name over 64 bits, alike at every gateway (FNV-1a).
-fn number(name: &str) -> u64 {
-    name.bytes().fold(0xCBF2_9CE4_8422_2325, |h, b| (h ^ b as u64).wrapping_mul(0x100_0000_01B3))
-}
-
 /// Where to show what is known, and the names of zones and kinds.
 pub struct Shown {
     pub window: Arc<Window>,
@@ -190,8 +189,14 @@
     pub kinds: Vec<Arc<str>>,
 }
 
-pub async fn decide(mut gateway: Gateway, shared: Rc<Shared>, events: Receiver<Event>, shown: Option<Shown>) {
-    let mut hands = Hands::new(shared);
+pub async fn decide(
+    mut gateway: Gateway,
+    shared: Rc<Shared>,
+    events: Receiver<Event>,
+    shown: Option<Shown>,
+    cells: Option<Keeper>,
+) {
+    let mut hands = Hands::new(shared, cells);
     loop {
         let Ok(event) = next(&hands.shared.clock, &events, hands.wake).await else { return };
         let now = hands.shared.clock.now();
@@ -272,7 +277,8 @@
             address: e.place.address.to_string(),
             zone: named(&shown.zones, e.place.zone),
             kind: named(&shown.kinds, e.place.kind),
-            cell: e.place.cell,
+            marks: e.place.marks,
+            cells: hands.cells.as_ref().map_or("".into(), |k| k.names(k.engine(hands.names.id(i))).into()),
             since: e.place.since,
             inflight: inflight[i],
             connections: e.connections.get(),
@@ -320,6 +326,16 @@
         let _ = t.client.try_send(Reply::TurnedBack(t.call, 0.0));
         return;
     }
+    let (now, tenant) = (hands.now, t.tenant.unwrap_or(t.of.tables));
+    let cells = match hands.cells.as_mut().map(|k| k.goes(now, tenant)) {
+        None => 0,
+        Some(Goes::To(cells)) => cells.0,
+        Some(Goes::TurnedBack { come_back }) => {
+            // Its cells have no ready engine: at the door, as the operator chose.
+            let _ = t.client.try_send(Reply::TurnedBack(t.call, come_back));
+            return;
+        }
+    };
     hands.open += 1;
     let s = hands.subs.admit(t.id);
     if hands.held.len() <= s {
@@ -338,7 +354,7 @@
         engine: None,
         met: Vec::new(),
     });
-    gateway.take(hands.now, s, Submission { left: limit - hands.now, ..t.of }, hands);
+    gateway.take(hands.now, s, Submission { left: limit - hands.now, cells, ..t.of }, hands);
 }
 
 fn roster(gateway: &mut Gateway, hands: &mut Hands, lines: BTreeMap<String, Place>) {
@@ -356,13 +372,14 @@
     hands.shared.listed.set(lines.len());
     let mut listed = Vec::new();
     for (name, place) in lines {
-        let id = number(&name);
+        let id = number(name.as_bytes());
         let engine = hands.names.admit(id);
         if hands.engines.len() <= engine {
             hands.engines.resize_with(engine + 1, || None);
         }
-        let Place { zone, kind, cell, standing, since, address } = place;
-        listed.push(Listed { engine, id, zone, kind, cell, cells: 0, standing, since });
+        let cells = hands.cells.as_ref().map_or(0, |k| k.engine(id).0);
+        let Place { zone, kind, marks, standing, since, address } = place;
+        listed.push(Listed { engine, id, zone, kind, marks, cells, standing, since });
         let known = &mut hands.engines[engine];
         // Another process by now, maybe elsewhere.
         let anew = |e: &Known| e.place.address != address || (e.place.since - since).abs() >= 1.0;
@@ -381,6 +398,9 @@
         hands.shared.executor.spawn(actor.run(mailbox)).detach();
         *known = Some(Known { name, place, orders, connections });
     }
+    if let Some(keeper) = &mut hands.cells {
+        keeper.roster(listed.iter().filter(|l| l.standing == Standing::Ready).map(|l| l.id));
+    }
     gateway.roster(hands.now, true, &listed, hands);
 }
 
@@ -405,6 +425,7 @@
             bands: Default::default(),
             longest: Cell::new(5000.0),
             gauges: Default::default(),
+            tenants: false,
             carriage: Carriage { connect_within, idle, streams, most_open, longest, reports },
             links_most: 8,
             listed: Cell::new(0),
@@ -412,7 +433,7 @@
             module: async_channel::bounded(1).0,
             executor: Rc::new(LocalExecutor::new()),
         });
-        let mut hands = Hands::new(shared);
+        let mut hands = Hands::new(shared, None);
         hands.now = 10.0;
         hands.wake(5.0);
         hands.now = 16.0;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,7 +1,11 @@
 //! The operator's file: all that the platform does not give, off without it. Decoded once, at start.
 
+use ironstair_cells::assign::Wrong;
+use ironstair_cells::{Assignment, Choice, Keeper};
+use ironstair_mail::number;
 use schemars::JsonSchema;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -11,6 +15,80 @@
 pub struct Operator {
     /// Settings and state over gNMI.
     pub management: Option<Management>,
+    /// Tenants confined to a part of the engines.
+    pub cells: Option<Cells>,
+}
+
+/// Cells; every gateway of a fleet is to be told the same.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Cells {
+    /// Names, 64 at most, each with its share of the engines and tenants that are pinned nowhere.
+    pub names: BTreeMap<String, f64>,
+    /// How many cells a tenant has: 1 is fixed cells, more is shuffle sharding.
+    #[serde(default = "one")]
+    pub shard: usize,
+    /// Whether the field `tenant` of a call names it; without one it is the statement's table group.
+    #[serde(default)]
+    pub named_by_clients: bool,
+    /// Engines kept to a cell.
+    #[serde(default)]
+    pub engines: BTreeMap<String, String>,
+    /// Tenants kept to cells.
+    #[serde(default)]
+    pub tenants: BTreeMap<String, Vec<String>>,
+    /// What holds for a tenant whose cells have no ready engine.
+    #[serde(default)]
+    pub without: Without,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Without {
+    /// Turned back at once, with the advice to come back after so many ms.
+    TurnBack(f64),
+    /// Places elsewhere, for this share of what it sends.
+    Lend(f64),
+}
+
+impl Default for Without {
+    fn default() -> Self {
+        Without::TurnBack(0.0)
+    }
+}
+
+fn one() -> usize {
+    1
+}
+
+/// What the cells of the file come to.
+///
+/// # Errors
+/// A name, a pin or the shard can't be; the sentence names the field.
+pub fn keeper(c: &Cells) -> Result<Keeper, String> {
+    let fault = |field: &str, why: &dyn std::fmt::Display| format!("cells.{field}: {why}");
+    let names: Vec<(String, f64)> = c.names.iter().map(|(n, w)| (n.clone(), *w)).collect();
+    if let Some((name, _)) = names.iter().find(|(_, w)| !(w.is_finite() && *w >= 0.0)) {
+        return Err(fault(&format!("names.{name}"), &"is no share"));
+    }
+    let made = Assignment::new(1, &names, c.shard);
+    let mut a = made.map_err(|e| fault(if matches!(e, Wrong::Shard(_)) { "shard" } else { "names" }, &e))?;
+    for (engine, cell) in &c.engines {
+        // In lower case, like the names that the list brings.
+        let id = number(engine.to_ascii_lowercase().as_bytes());
+        a = a.pin_engine(id, Some(cell)).map_err(|e| fault(&format!("engines.{engine}"), &e))?;
+    }
+    for (tenant, cells) in &c.tenants {
+        let cells: Vec<&str> = cells.iter().map(String::as_str).collect();
+        let pinned = a.pin_tenant(number(tenant.as_bytes()), Some(&cells));
+        a = pinned.map_err(|e| fault(&format!("tenants.{tenant}"), &e))?;
+    }
+    let choice = match c.without {
+        Without::TurnBack(ms) if ms.is_finite() && ms >= 0.0 => Choice::TurnBack { come_back: ms },
+        Without::Lend(share) if (0.0..=1.0).contains(&share) => Choice::Lend { share },
+        _ => return Err(fault("without", &"is no time and no share from 0 to 1")),
+    };
+    Ok(Keeper::new(a, choice))
 }
 
 /// Where and for whom settings and state are served.
@@ -68,6 +146,9 @@
         format!("{at}: {}", e.into_inner())
     })?;
     reader.end().map_err(|e| e.to_string())?;
+    if let Some(c) = &found.cells {
+        keeper(c)?;
+    }
     if let Some(m) = &found.management {
         if m.tls.is_none() && !m.listen.ip().is_loopback() {
             return Err(format!(
@@ -122,6 +203,15 @@
                 r#"{"management": {"listen": "0.0.0.0:1", "tls": {"certificate": "", "key": "", "clients": ""}}}"#,
                 "management.tls: neither",
             ),
+            (r#"{"cells": {"names": {}}}"#, "cells.names: there is no cell"),
+            (r#"{"cells": {"names": {"a": -1}}}"#, "cells.names.a: is no share"),
+            (r#"{"cells": {"names": {"a": 1}, "shard": 2}}"#, "cells.shard: a tenant"),
+            (
+                r#"{"cells": {"names": {"a": 1}, "engines": {"e1": "b"}}}"#,
+                "cells.engines.e1: there is no cell b",
+            ),
+            (r#"{"cells": {"names": {"a": 1}, "tenants": {"t": []}}}"#, "cells.tenants.t: a tenant"),
+            (r#"{"cells": {"names": {"a": 1}, "without": {"lend": 2}}}"#, "cells.without: is no"),
             ("{} {}", "trailing characters"),
         ] {
             let told = decode(text.as_bytes()).unwrap_err();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::list::{List, Moved};
 use crate::module::{decide, Shown};
-use crate::operator::Operator;
+use crate::operator::{self, Operator};
 use crate::places::Places;
 use crate::told::{self, Told};
 use crate::{client, log, management};
@@ -79,6 +79,7 @@
     let told = told::read(path)?;
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
     let management = management.map(|m| management::open(m, &told)).transpose()?;
+    let cells = operator.as_ref().and_then(|o| o.cells.as_ref()).map(operator::keeper).transpose()?;
     let (log, _guard, level) = log::open(&told.name, form);
     let executor = Rc::new(LocalExecutor::new());
     let (module, events) = async_channel::bounded(MAILBOX);
@@ -102,6 +103,7 @@
         bands: RefCell::new(Rc::new(bands)),
         longest: Cell::new(longest),
         gauges: Gauges::default(),
+        tenants: operator.as_ref().and_then(|o| o.cells.as_ref()).is_some_and(|c| c.named_by_clients),
         carriage: told.carriage,
         log: log.clone(),
         module: module.clone(),
@@ -118,7 +120,7 @@
             zones: told.index.zones.iter().map(|n| n.as_str().into()).collect(),
             kinds: told.index.kinds.iter().map(|n| n.as_str().into()).collect(),
         });
-        executor.spawn(decide(gateway, shared.clone(), events, shown)).detach();
+        executor.spawn(decide(gateway, shared.clone(), events, shown, cells)).detach();
         let mut renew = None;
         if let Some(m) = management {
             let (asked, word) = m.start(&told.name, shared.clock, log.clone(), level)?;
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -107,7 +107,7 @@
             address: address(e, "hostPort")?,
             zone: index.zone(e["zone"].as_str().unwrap_or_default()),
             kind: index.kind(e["machineType"].as_str().unwrap_or_default()),
-            cell: e["cell"].as_u64().unwrap_or(0) as u16,
+            marks: e["cell"].as_u64().unwrap_or(0) as u16,
             standing,
             since: e["startedAtMs"].as_f64().unwrap_or(0.0),
         };
@@ -134,7 +134,7 @@
                 address: ([10, 1, 0, 1], 1).into(),
                 zone: 0,
                 kind: 0,
-                cell: 0,
+                marks: 0,
                 standing: Standing::Ready,
                 since: 0.0,
             },
@@ -149,7 +149,7 @@
             address: ([10, 1, 0, 9], 3).into(),
             zone: 1,
             kind: u16::MAX,
-            cell: 2,
+            marks: 2,
             standing: Standing::Draining,
             since: 5.0,
         };
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -47,6 +47,8 @@
     pub id: Id,
     pub call: u64,
     pub of: Submission,
+    /// Where tenants are told apart: by the name that its client gave, else by its table group.
+    pub tenant: Option<u64>,
     pub at: Ms,
     pub statement: Chain,
     pub client: Sender<Reply>,
@@ -88,11 +90,17 @@
     pub address: SocketAddr,
     pub zone: u16,
     pub kind: u16,
-    pub cell: u16,
+    /// The group within which marks of tagged submissions are known.
+    pub marks: u16,
     pub standing: Standing,
     pub since: Ms,
 }
 
+/// Spreads a name over 64 bits, alike at every gateway (FNV-1a).
+pub fn number(name: &[u8]) -> u64 {
+    name.iter().fold(0xCBF2_9CE4_8422_2325, |h, b| (h ^ *b as u64).wrapping_mul(0x100_0000_01B3))
+}
+
 /// Work beyond so many longest hard limits is none that is meant.
 const WORK_MOST: f64 = 1000.0;
 
@@ -105,6 +113,8 @@
     /// The longest hard limit.
     pub longest: Cell<Ms>,
     pub carriage: Carriage,
+    /// Whether clients may name their tenant.
+    pub tenants: bool,
     /// Connections to all engines, and how many engines there are.
     pub links_most: usize,
     pub listed: Cell<usize>,
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -49,7 +49,7 @@
     let within = match at(c, "group").and_then(Value::as_str) {
         None | Some("all") => Within::All,
         Some("zone") => Within::Zone,
-        Some("cell") => Within::Cell,
+        Some("cell") => Within::MarkGroup,
         Some(other) => return Err(format!("group {other} is unknown")),
     };
     let repeat = match word(c, "semantics")? {
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -263,7 +263,7 @@
                     l.f32("weight")?;
                     let since = ms(l.u64("start")?);
                     let (engine, id) = (engines.admit(address), u64::from_le_bytes(id));
-                    lines.push(Listed { engine, id, zone, kind, cell, cells: 0, standing, since });
+                    lines.push(Listed { engine, id, zone, kind, marks: cell, cells: 0, standing, since });
                 }
                 gateway.roster(now, mode != 0, &lines, pen!());
             }
--- a/crates/tree/src/state.rs
+++ b/crates/tree/src/state.rs
@@ -16,7 +16,9 @@
     pub address: String,
     pub zone: Arc<str>,
     pub kind: Arc<str>,
-    pub cell: u16,
+    pub marks: u16,
+    /// Names of the cells that it is in.
+    pub cells: Arc<str>,
     pub since: Ms,
     pub inflight: u32,
     pub connections: u32,
@@ -172,7 +174,10 @@
     n.text("standing", standing);
     n.text("zone", &e.zone);
     n.text("kind", &e.kind);
-    n.count("cell", e.cell as u64);
+    n.count("mark-group", e.marks as u64);
+    if !e.cells.is_empty() {
+        n.text("cell", &e.cells);
+    }
     n.set("since", moment(e.since));
     n.count("inflight", e.inflight as u64);
     n.decimal("threads", v.threads, 3);
--- a/crates/tree/tests/tree.rs
+++ b/crates/tree/tests/tree.rs
@@ -11,7 +11,7 @@
         "band": [
             {"name": "lookup", "expected": 1000, "hard-limit": 5000, "payoff": "1.0", "repeat": "repeatable"},
             {"name": "post", "expected": 4000, "expected-stretch": "2.5", "hard-limit": 20000, "payoff": "6.25",
-             "threads": 4, "repeat": "tagged", "within": "cell", "window": 3000, "zone": ["a", "b"]}],
+             "threads": 4, "repeat": "tagged", "within": "mark-group", "window": 3000, "zone": ["a", "b"]}],
         "gateways": 3, "forwards-most": 6,
         "ration": {"spare": 10, "share": "0.1", "span": 10000},
         "cold": {"from": "0.34", "warm-after": 15000, "multiple": "4.0", "span": 1000}})
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,7 +38,8 @@
 pub enum Within {
     All,
     Zone,
-    Cell,
+    /// What the wire calls a cell.
+    MarkGroup,
 }
 
 /// What a band's submissions share.
@@ -122,7 +123,8 @@
     pub id: u64,
     pub zone: u16,
     pub kind: u16,
-    pub cell: u16,
+    /// The group within which marks of tagged submissions are known.
+    pub marks: u16,
     /// Cells that it is in, a bit for each.
     pub cells: u64,
     pub standing: Standing,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -704,7 +704,7 @@
         let (terms, line) = (&self.m.bands[s.of.band], &e.listed);
         let same = |other: &Listed| match terms.repeat {
             Repeat::Tagged(Within::Zone) => other.zone == line.zone,
-            Repeat::Tagged(Within::Cell) => other.cell == line.cell,
+            Repeat::Tagged(Within::MarkGroup) => other.marks == line.marks,
             _ => true,
         };
         let fits = |t: &Terms| {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -97,7 +97,7 @@
         band(6.0, 4.0, Repeat::OnceOnly),
         tagged(Within::All),
         tagged(Within::Zone),
-        tagged(Within::Cell),
+        tagged(Within::MarkGroup),
     ]);
     m.bands[0].in_order = true;
     m.bands[2].in_order = true;
@@ -110,9 +110,9 @@
 
 pub fn line(engine: usize) -> Listed {
     let id = 1000 + 7 * engine as u64;
-    let (zone, kind, cell) = (engine as u16 % 2, engine as u16 / 2 % 2, engine as u16 / 2);
+    let (zone, kind, marks) = (engine as u16 % 2, engine as u16 / 2 % 2, engine as u16 / 2);
     let cells = 1 << (engine % 3);
-    Listed { engine, id, zone, kind, cell, cells, standing: Standing::Ready, since: 0.0 }
+    Listed { engine, id, zone, kind, marks, cells, standing: Standing::Ready, since: 0.0 }
 }
 
 pub fn ask(band: usize, work: Ms) -> Submission {
@@ -219,7 +219,7 @@
                 Repeat::OnceOnly => return Err("2: once-only again".into()),
                 Repeat::Tagged(Within::All) => true,
                 Repeat::Tagged(Within::Zone) => other.zone == line.zone,
-                Repeat::Tagged(Within::Cell) => other.cell == line.cell,
+                Repeat::Tagged(Within::MarkGroup) => other.marks == line.marks,
             };
             breaks!(
                 !same || now > ran.sent + terms.window.min(under.window),
