--- /dev/null
+++ b/crates/gateway/benches/calls.rs
@@ -0,0 +1,152 @@
+//! What a call costs a gateway as the list of engines grows: its processor for each call between stand-ins on
+//! loopback, and the module's part alone. `cargo bench -p ironstair-gateway --bench calls`
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::*;
+use ironstair::logic::Gateway as Module;
+use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Instant;
+
+const ROUNDS: usize = 5;
+const SIZES: [usize; 3] = [10, 100, 1000];
+
+fn spread(mut all: Vec<f64>) -> String {
+    all.sort_by(f64::total_cmp);
+    format!("{:.1} ({:.1} to {:.1})", all[all.len() / 2], all[0], all[all.len() - 1])
+}
+
+fn processor_us(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = text.rsplit_once(')').unwrap().1.split_whitespace().collect();
+    (fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap()) * 1e4
+}
+
+/// Takes what the module asks for, and remembers the forward.
+#[derive(Default)]
+struct Hands(Option<usize>);
+
+impl Outlet for Hands {
+    fn forward(&mut self, submission: usize, _engine: usize) {
+        self.0 = Some(submission);
+    }
+    fn withdraw(&mut self, _: usize, _: u8) {}
+    fn terms(&mut self, _: usize, _: u8, _: f64) {}
+    fn turn_back(&mut self, _: usize, _: Ms) {}
+    fn scrap(&mut self, _: usize) {}
+    fn subscribe(&mut self) {}
+    fn probe(&mut self, _: usize) {}
+    fn wake(&mut self, _: Ms) {}
+    fn note(&mut self, _: &str) {}
+    fn forget(&mut self, _: usize) {}
+}
+
+fn module() {
+    println!("\n| engines | the module for each call, us | with cells, 8 |");
+    println!("| --- | --- | --- |");
+    for n in SIZES {
+        let mut sides = [Vec::new(), Vec::new()];
+        for round in 0..2 * ROUNDS {
+            let cells = round % 2 == 1;
+            let mandate = ironstair_mandate::read(
+                json!({"classes": [{"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0}],
+                    "fleet_size": 4, "machine_types": ["m"], "dcs": ["a"], "registry_mode": "automatic", "resolution_ns": 1e6,
+                    "family_info": {"size_cores": [16], "ram_of_kind_mb": [32768.0], "threads_by_class": [1]},
+                    "guarantees": {"cold_from": 0.3, "warm_after_ns": 15e9, "overload_factor": 4.0, "fall_ns": 1e9},
+                    "policy_limits": {"max_attempts": 6, "may_cancel": true}})
+                .to_string()
+                .as_bytes(),
+            );
+            let mut module = Module::new(mandate.unwrap(), 7);
+            let mut hands = Hands::default();
+            let lines: Vec<Listed> = (0..n)
+                .map(|engine| Listed {
+                    engine,
+                    id: 0x9E37_79B9_7F4A_7C15u64.wrapping_mul(engine as u64 + 1),
+                    cells: 1 << (engine % 8),
+                    standing: Standing::Ready,
+                    ..Listed::default()
+                })
+                .collect();
+            module.roster(1.0, true, &lines, &mut hands);
+            let calls = 20_000;
+            let since = Instant::now();
+            for call in 0..calls {
+                let now = 2.0 + call as f64 / 10.0;
+                let cells = if cells { 1 << (call % 8) } else { 0 };
+                let of = Submission { left: 5000.0, tables: call % 40, cells, ..Submission::default() };
+                module.take(now, call as usize % 64, of, &mut hands);
+                if let Some(s) = hands.0.take() {
+                    module.outcome(now + 0.05, s, Outcome::Settled(Some(1.0)), true, &mut hands);
+                }
+            }
+            sides[cells as usize].push(since.elapsed().as_secs_f64() * 1e6 / calls as f64);
+        }
+        let [off, on] = sides;
+        println!("| {n} | {} | {} |", spread(off), spread(on));
+    }
+}
+
+fn gateway_alone() {
+    println!("\n| engines | processor for each call, us | calls a second | resident, KiB |");
+    println!("| --- | --- | --- | --- |");
+    for n in SIZES {
+        // Eight that answer at once stand behind all names.
+        let real: Vec<SocketAddr> =
+            (0..8).map(|_| engine(|line, _| (done(line, "a\tb\tc\n"), false)).0).collect();
+        let names: Vec<String> = (0..n).map(|i| format!("engine-{i}")).collect();
+        let listed: Vec<(&str, SocketAddr)> =
+            names.iter().enumerate().map(|(i, n)| (n.as_str(), real[i % 8])).collect();
+        let class =
+            json!({"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+        let (mut told, roster) = told(1, json!([class]), &listed);
+        told["limits"] = json!({"memory_mb": 512, "sockets": 8192});
+        let gateway = started(&format!("bench-calls-{n}"), told, roster, None);
+        let (mut costs, mut rates) = (Vec::new(), Vec::new());
+        for round in 0..ROUNDS as u64 {
+            let (before, since) = (processor_us(gateway.process.id()), Instant::now());
+            let clients: Vec<_> = (0..32u64)
+                .map(|who| {
+                    let mut c = Client::of(&gateway);
+                    thread::spawn(move || {
+                        let base = (round * 32 + who) * 1_000_000 + 1;
+                        let most = 400;
+                        (0..16).for_each(|k| c.ask(base + k));
+                        for k in 0..most {
+                            c.hear();
+                            if k + 16 < most {
+                                c.ask(base + k + 16);
+                            }
+                        }
+                    })
+                })
+                .collect();
+            clients.into_iter().for_each(|c| c.join().unwrap());
+            let calls = 32.0 * 400.0;
+            costs.push((processor_us(gateway.process.id()) - before) / calls);
+            rates.push(calls / since.elapsed().as_secs_f64());
+        }
+        let text = std::fs::read_to_string(format!("/proc/{}/status", gateway.process.id())).unwrap();
+        let rss = text
+            .lines()
+            .find(|l| l.starts_with("VmRSS"))
+            .unwrap()
+            .split_whitespace()
+            .nth(1)
+            .unwrap()
+            .to_string();
+        println!("| {n} | {} | {} | {rss} |", spread(costs), spread(rates));
+    }
+}
+
+fn main() {
+    if !std::env::args().any(|a| a == "--bench") {
+        return;
+    }
+    module();
+    gateway_alone();
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,8 @@
 //! door.rs makes the indices used here.
 
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
-use std::collections::{BTreeMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 mod view;
@@ -19,6 +20,8 @@
 /// Pressure: this many times the best pace; up to the second the bound narrows to the even share.
 const PRESSED: f64 = 1.2;
 const STRAINED: f64 = 1.6;
+/// Table groups whose order of engines is kept while the roster does not change.
+const ORDERS: usize = 256;
 /// Half-lives of paces, long against looks and short against troubles, and of what hardly changes.
 const HALF: Ms = 2000.0;
 const LONG_HALF: Ms = 20_000.0;
@@ -186,6 +189,7 @@
     subs: Vec<Taken>,
     flying: Vec<usize>,
     bands: Vec<Band>,
+    orders: RefCell<HashMap<u64, Vec<u32>>>, // by table group, until the roster changes
     keys: BTreeMap<u64, (VecDeque<usize>, Ms)>, // who waits for a key, in order, and until when it rests
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
@@ -244,6 +248,7 @@
     }
 
     pub fn roster(&mut self, now: Ms, full: bool, lines: &[Listed], out: &mut dyn Outlet) {
+        self.orders.get_mut().clear();
         if full {
             self.engines.iter_mut().for_each(|e| e.listed.standing = Standing::Gone);
         }
@@ -438,6 +443,9 @@
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
         let least = if self.blind { 1 } else { BAD };
+        if !self.engines.iter().any(|e| e.failures() >= least) {
+            return false;
+        }
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
@@ -718,11 +726,18 @@
     }
 
     fn order(&self, s: &Taken) -> Vec<usize> {
-        let able = (0..self.engines.len()).filter(|&i| self.allowed(s, &self.engines[i]));
-        let mut order: Vec<usize> = able.collect();
-        order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i].listed.id));
+        let mut orders = self.orders.borrow_mut();
+        if orders.len() >= ORDERS && !orders.contains_key(&s.of.tables) {
+            orders.clear();
+        }
+        let order = orders.entry(s.of.tables).or_insert_with(|| {
+            let mut order: Vec<u32> = (0..self.engines.len() as u32).collect();
+            order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i as usize].listed.id));
+            order
+        });
+        let able = order.iter().map(|&i| i as usize).filter(|&i| self.allowed(s, &self.engines[i]));
         let warm = |&(nth, i): &(usize, usize)| self.cold_room(s, &self.engines[i], nth < HOMES);
-        order.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
+        able.enumerate().filter(warm).map(|o| o.1).collect()
     }
 
     /// By the order hashed from the table group: of its homes the least own threads a core, then the rest.
