A tenant moves to other cells under traffic, over the tree and by `ironstair move`

Cells are settings of the tree, with revisions and confirmed commits; a change is taken over with the amendment, waiting submissions go by their tenant's new cells from their next forward on, and what runs finishes where it is. A target without a ready engine or that is not there is refused by its path.

--- a/crates/cells/src/keeper.rs
+++ b/crates/cells/src/keeper.rs
@@ -27,6 +27,10 @@
         self.assignment.engine(id)
     }
 
+    pub fn tenant(&self, tenant: u64) -> Cells {
+        self.assignment.tenant(tenant)
+    }
+
     /// The names of a set of cells.
     pub fn names(&self, cells: Cells) -> String {
         let names = cells.iter().filter_map(|n| self.assignment.names().get(n));
--- a/crates/change/src/document.rs
+++ b/crates/change/src/document.rs
@@ -2,6 +2,8 @@
 //! (RFC 7951), so that neither has to be mapped to the other.
 
 use ironstair::{Mandate, Ms, Repeat, Within};
+use ironstair_cells::assign::Wrong;
+use ironstair_cells::{Assignment, Choice, Keeper};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::BTreeSet;
@@ -118,6 +120,89 @@
     pub span: u32,
 }
 
+/// Tenants confined to a part of the engines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Cells {
+    #[serde(default = "single")]
+    pub shard: u8,
+    pub cell: Vec<Cell>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub engine: Vec<EnginePin>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenant: Vec<TenantPin>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub turn_back: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lend: Option<Decimal<4>>,
+}
+
+fn single() -> u8 {
+    1
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Cell {
+    pub name: String,
+    #[serde(default = "whole")]
+    pub weight: Decimal<3>,
+}
+
+fn whole() -> Decimal<3> {
+    Decimal(1.0)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct EnginePin {
+    pub name: String,
+    pub cell: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct TenantPin {
+    pub name: String,
+    #[serde(default)]
+    pub cell: Vec<String>,
+}
+
+impl Cells {
+    /// What a gateway keeps of them. `number` spreads a name over 64 bits, alike at every gateway.
+    ///
+    /// # Errors
+    /// A cell that is not there, too many, or a shard that can't be; by its path.
+    pub fn keeper(&self, number: fn(&[u8]) -> u64) -> Result<Keeper, Fault> {
+        let at =
+            |field: &str, why: &dyn fmt::Display| fault(format!("/settings/cells/{field}"), why.to_string());
+        let mut cells: Vec<(String, f64)> =
+            self.cell.iter().map(|c| (c.name.clone(), c.weight.get())).collect();
+        // Alike from whatever order they were told in.
+        cells.sort_by(|a, b| a.0.cmp(&b.0));
+        let made = Assignment::new(1, &cells, self.shard as usize);
+        let field = |e: &Wrong| if matches!(e, Wrong::Shard(_)) { "shard" } else { "cell" };
+        let mut a = made.map_err(|e| at(field(&e), &e))?;
+        for pin in &self.engine {
+            // In lower case, like the names that the list brings.
+            let id = number(pin.name.to_ascii_lowercase().as_bytes());
+            let pinned = a.pin_engine(id, Some(&pin.cell));
+            a = pinned.map_err(|e| at(&format!("engine[name={}]/cell", pin.name), &e))?;
+        }
+        for pin in &self.tenant {
+            let names: Vec<&str> = pin.cell.iter().map(String::as_str).collect();
+            let pinned = a.pin_tenant(number(pin.name.as_bytes()), Some(&names));
+            a = pinned.map_err(|e| at(&format!("tenant[name={}]/cell", pin.name), &e))?;
+        }
+        let choice = match (self.turn_back, self.lend) {
+            (Some(_), Some(_)) => return Err(at("lend", &"either turn-back or lend")),
+            (_, Some(share)) => Choice::Lend { share: share.get() },
+            (ms, None) => Choice::TurnBack { come_back: ms.unwrap_or(0) as f64 },
+        };
+        Ok(Keeper::new(a, choice))
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Log {
@@ -136,6 +221,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ration: Option<Ration>,
     pub cold: Cold,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cells: Option<Cells>,
     #[serde(default)]
     pub log: Log,
 }
@@ -221,6 +308,7 @@
                 multiple: Decimal::of(m.fall_multiple),
                 span: whole(m.fall_span),
             },
+            cells: None,
             log: Log::default(),
         }
     }
@@ -255,6 +343,8 @@
                 }
             }
         }
+        // Which names are meant matters here, not what they are spread over.
+        found.extend(self.cells.iter().filter_map(|c| c.keeper(|name| name.len() as u64).err()));
         found
     }
 }
--- a/crates/change/src/lib.rs
+++ b/crates/change/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod plan;
 pub mod revisions;
 
-pub use document::{Band, Cold, Decimal, Document, Fault, Frame, Log, Ration};
+pub use document::{
+    Band, Cell, Cells, Cold, Decimal, Document, EnginePin, Fault, Frame, Log, Ration, TenantPin,
+};
--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -155,6 +155,9 @@
     for (field, when, show) in REST {
         steps.extend(step(format!("/settings/{field}"), show(from), show(to), when));
     }
+    // As a whole: a tenant's cells follow from all of it.
+    let cells = |d: &Document| d.cells.as_ref().map(|c| format!("{c:?}"));
+    steps.extend(step("/settings/cells".into(), cells(from), cells(to), When::AtOnce));
     let level = |d: &Document| Some(format!("{:?}", d.log.level).to_lowercase());
     steps.extend(step("/settings/log/level".into(), level(from), level(to), When::AtOnce));
     if faults.is_empty() {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -46,6 +46,10 @@
     Cancel(user::Trial),
     /// Shows changes as they come
     Watch(user::Watch),
+    /// Shows the cells, and who is kept to which
+    Cells(user::Listed),
+    /// Moves a tenant to other cells under traffic
+    Move(user::Move),
     /// Shows the last changes of the settings, who made them and what became of them
     Revisions(user::Listed),
     /// Prints the version
@@ -87,8 +91,9 @@
     let t = told::read(&from.told)?;
     let (bands, engines) = (t.bands.len(), t.known.len());
     println!("{}: {bands} bands, {engines} engines, listens on {}", t.name, t.listen);
-    if let Some(m) = operator.and_then(|o| o.management) {
-        management::fits(&t)?;
+    let Some(o) = operator else { return Ok(()) };
+    if let Some(m) = o.management {
+        management::fits(&t, o.cells.as_ref())?;
         println!("management: gNMI on {}", m.listen);
     }
     Ok(())
@@ -118,6 +123,8 @@
         Job::Confirm(t) => user::run(user::trial(t, Action::Confirm(CommitConfirm {}))),
         Job::Cancel(t) => user::run(user::trial(t, Action::Cancel(CommitCancel {}))),
         Job::Watch(w) => user::run(user::watch(w)),
+        Job::Cells(l) => user::run(user::cells(l)),
+        Job::Move(m) => user::run(user::move_tenant(m)),
         Job::Revisions(l) => user::run(user::revisions(l)),
     };
     match done {
--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -1,7 +1,7 @@
 //! Management on a thread of its own: a busy reader costs the gateway's thread no more than the view it asks for.
 
 use crate::log::Least;
-use crate::operator::{Management, Tls};
+use crate::operator::{self, Cells, Management, Tls};
 use async_channel::{Receiver, Sender};
 use ironstair::Ms;
 use ironstair_gnmi::keys::Files;
@@ -35,10 +35,10 @@
 ///
 /// # Errors
 /// The settings do not fit the tree, the folder can't be read, or the address is not free.
-pub fn open(m: &Management, told: &crate::told::Told) -> Result<Opened, String> {
+pub fn open(m: &Management, told: &crate::told::Told, cells: Option<&Cells>) -> Result<Opened, String> {
     let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
-    let (mandate, state) = (told.mandate.clone(), m.state.as_deref());
-    let started = ironstair_manage::open(mandate, &told.bands, &told.limits, frame, state)?;
+    let (mandate, state, cells) = (told.mandate.clone(), m.state.as_deref(), cells.map(operator::cells));
+    let started = ironstair_manage::open(mandate, &told.bands, &told.limits, frame, cells, state)?;
     let keys = m.tls.as_ref().map(|t| Keys::open(files(t))).transpose();
     let keys = keys.map_err(|why| format!("management.tls: {why}"))?;
     let (bound, streams) = (serve::bind(m.listen)?, m.streams);
@@ -58,9 +58,10 @@
 ///
 /// # Errors
 /// It does not fit the tree; the sentence names the field.
-pub fn fits(told: &crate::told::Told) -> Result<(), String> {
+pub fn fits(told: &crate::told::Told, cells: Option<&Cells>) -> Result<(), String> {
     let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
-    ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, frame, None).map(drop)
+    let cells = cells.map(operator::cells);
+    ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, frame, cells, None).map(drop)
 }
 
 impl Opened {
@@ -68,6 +69,10 @@
         self.started.mandate()
     }
 
+    pub fn cells(&self) -> Option<ironstair_cells::Keeper> {
+        self.started.cells()
+    }
+
     pub fn bands(&self) -> (Vec<Told>, Ms) {
         self.started.bands()
     }
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -25,6 +25,7 @@
     call: u64,
     band: usize,
     at: Ms,
+    tenant: u64,
     limit: Ms,
     statement: Rc<Chain>,
     priority: Option<u8>,
@@ -249,10 +250,43 @@
 fn amend(gateway: &mut Gateway, hands: &mut Hands, to: Amendment) {
     hands.shared.bands.replace(Rc::new(to.bands));
     hands.shared.longest.set(to.longest);
+    if hands.cells.is_some() || to.cells.is_some() {
+        hands.cells = to.cells;
+        move_tenants(gateway, hands);
+    }
     gateway.amend(hands.now, to.mandate, hands);
     let _ = to.done.try_send(());
 }
 
+/// Engines and tenants go by other cells from now on. New forwards of what is open go where its tenant is now; what
+/// runs finishes where it is.
+fn move_tenants(gateway: &mut Gateway, hands: &mut Hands) {
+    let Some(keeper) = &mut hands.cells else {
+        (0..hands.held.len()).for_each(|s| gateway.confine(s, 0));
+        let cells = |_: u64| 0;
+        let lines = lines(&hands.engines, &hands.names, cells);
+        return gateway.roster(hands.now, true, &lines, hands);
+    };
+    let lines = lines(&hands.engines, &hands.names, |id| keeper.engine(id).0);
+    keeper.roster(lines.iter().filter(|l| l.standing == Standing::Ready).map(|l| l.id));
+    for (s, held) in hands.held.iter().enumerate() {
+        if let Some(h) = held {
+            gateway.confine(s, keeper.tenant(h.tenant).0);
+        }
+    }
+    gateway.roster(hands.now, true, &lines, hands);
+}
+
+/// The roster as it stands, for the module.
+fn lines(engines: &[Option<Known>], names: &Door<u64>, cells: impl Fn(u64) -> u64) -> Vec<Listed> {
+    let known = engines.iter().enumerate().filter_map(|(i, e)| e.as_ref().map(|e| (i, &e.place)));
+    let line = |(engine, p): (usize, &Place)| {
+        let (id, Place { zone, kind, marks, standing, since, .. }) = (names.id(engine), p.clone());
+        Listed { engine, id, zone, kind, marks, cells: cells(id), standing, since }
+    };
+    known.map(line).collect()
+}
+
 /// Engines whose figures are as they were keep their entry, so that who reads finds quickly what has changed.
 fn show(gateway: &Gateway, hands: &mut Hands, shown: &Shown) {
     let (window, shared) = (&shown.window, hands.shared.clone());
@@ -347,6 +381,7 @@
         call: t.call,
         band: t.of.band,
         at: t.at,
+        tenant,
         limit,
         statement: Rc::new(t.statement),
         priority: None,
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,7 +1,7 @@
 //! The operator's file: all that the platform does not give, off without it. Decoded once, at start.
 
-use ironstair_cells::assign::Wrong;
-use ironstair_cells::{Assignment, Choice, Keeper};
+use ironstair_cells::Keeper;
+use ironstair_change::{Cell, Decimal, EnginePin, TenantPin};
 use ironstair_mail::number;
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -27,7 +27,7 @@
     pub names: BTreeMap<String, f64>,
     /// How many cells a tenant has: 1 is fixed cells, more is shuffle sharding.
     #[serde(default = "one")]
-    pub shard: usize,
+    pub shard: u8,
     /// Whether the field `tenant` of a call names it; without one it is the statement's table group.
     #[serde(default)]
     pub named_by_clients: bool,
@@ -46,49 +46,50 @@
 #[serde(rename_all = "snake_case")]
 pub enum Without {
     /// Turned back at once, with the advice to come back after so many ms.
-    TurnBack(f64),
+    TurnBack(u32),
     /// Places elsewhere, for this share of what it sends.
     Lend(f64),
 }
 
 impl Default for Without {
     fn default() -> Self {
-        Without::TurnBack(0.0)
+        Without::TurnBack(0)
     }
 }
 
-fn one() -> usize {
+fn one() -> u8 {
     1
 }
 
-/// What the cells of the file come to.
+/// The cells of the file as settings.
+pub fn cells(c: &Cells) -> ironstair_change::Cells {
+    let pin = |(name, cell): (&String, &String)| EnginePin { name: name.clone(), cell: cell.clone() };
+    let (turn_back, lend) = match c.without {
+        Without::TurnBack(ms) => (Some(ms), None),
+        Without::Lend(share) => (None, Some(Decimal::of(share))),
+    };
+    ironstair_change::Cells {
+        shard: c.shard,
+        cell: c.names.iter().map(|(n, w)| Cell { name: n.clone(), weight: Decimal::of(*w) }).collect(),
+        engine: c.engines.iter().map(pin).collect(),
+        tenant: c.tenants.iter().map(|(n, c)| TenantPin { name: n.clone(), cell: c.clone() }).collect(),
+        turn_back,
+        lend,
+    }
+}
+
+/// What a gateway keeps of them.
 ///
 /// # Errors
 /// A name, a pin or the shard can't be; the sentence names the field.
 pub fn keeper(c: &Cells) -> Result<Keeper, String> {
-    let fault = |field: &str, why: &dyn std::fmt::Display| format!("cells.{field}: {why}");
-    let names: Vec<(String, f64)> = c.names.iter().map(|(n, w)| (n.clone(), *w)).collect();
-    if let Some((name, _)) = names.iter().find(|(_, w)| !(w.is_finite() && *w >= 0.0)) {
-        return Err(fault(&format!("names.{name}"), &"is no share"));
+    if let Some((name, _)) = c.names.iter().find(|(_, w)| !(w.is_finite() && **w >= 0.0)) {
+        return Err(format!("cells.names.{name}: is no share"));
     }
-    let made = Assignment::new(1, &names, c.shard);
-    let mut a = made.map_err(|e| fault(if matches!(e, Wrong::Shard(_)) { "shard" } else { "names" }, &e))?;
-    for (engine, cell) in &c.engines {
-        // In lower case, like the names that the list brings.
-        let id = number(engine.to_ascii_lowercase().as_bytes());
-        a = a.pin_engine(id, Some(cell)).map_err(|e| fault(&format!("engines.{engine}"), &e))?;
+    if matches!(c.without, Without::Lend(share) if !(0.0..=1.0).contains(&share)) {
+        return Err("cells.without: is no share from 0 to 1".into());
     }
-    for (tenant, cells) in &c.tenants {
-        let cells: Vec<&str> = cells.iter().map(String::as_str).collect();
-        let pinned = a.pin_tenant(number(tenant.as_bytes()), Some(&cells));
-        a = pinned.map_err(|e| fault(&format!("tenants.{tenant}"), &e))?;
-    }
-    let choice = match c.without {
-        Without::TurnBack(ms) if ms.is_finite() && ms >= 0.0 => Choice::TurnBack { come_back: ms },
-        Without::Lend(share) if (0.0..=1.0).contains(&share) => Choice::Lend { share },
-        _ => return Err(fault("without", &"is no time and no share from 0 to 1")),
-    };
-    Ok(Keeper::new(a, choice))
+    cells(c).keeper(number).map_err(|f| format!("cells: {f}"))
 }
 
 /// Where and for whom settings and state are served.
@@ -203,14 +204,17 @@
                 r#"{"management": {"listen": "0.0.0.0:1", "tls": {"certificate": "", "key": "", "clients": ""}}}"#,
                 "management.tls: neither",
             ),
-            (r#"{"cells": {"names": {}}}"#, "cells.names: there is no cell"),
+            (r#"{"cells": {"names": {}}}"#, "cells: /settings/cells/cell: there is no cell"),
             (r#"{"cells": {"names": {"a": -1}}}"#, "cells.names.a: is no share"),
-            (r#"{"cells": {"names": {"a": 1}, "shard": 2}}"#, "cells.shard: a tenant"),
+            (r#"{"cells": {"names": {"a": 1}, "shard": 2}}"#, "cells: /settings/cells/shard: a tenant"),
             (
                 r#"{"cells": {"names": {"a": 1}, "engines": {"e1": "b"}}}"#,
-                "cells.engines.e1: there is no cell b",
+                "cells: /settings/cells/engine[name=e1]/cell: there is no cell b",
+            ),
+            (
+                r#"{"cells": {"names": {"a": 1}, "tenants": {"t": []}}}"#,
+                "cells: /settings/cells/tenant[name=t]/cell: a tenant",
             ),
-            (r#"{"cells": {"names": {"a": 1}, "tenants": {"t": []}}}"#, "cells.tenants.t: a tenant"),
             (r#"{"cells": {"names": {"a": 1}, "without": {"lend": 2}}}"#, "cells.without: is no"),
             ("{} {}", "trailing characters"),
         ] {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -78,8 +78,12 @@
 pub fn serve(path: &Path, operator: Option<Operator>, form: log::Form) -> Result<(), String> {
     let told = told::read(path)?;
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
-    let management = management.map(|m| management::open(m, &told)).transpose()?;
-    let cells = operator.as_ref().and_then(|o| o.cells.as_ref()).map(operator::keeper).transpose()?;
+    let cells = operator.as_ref().and_then(|o| o.cells.as_ref());
+    let management = management.map(|m| management::open(m, &told, cells)).transpose()?;
+    let cells = match &management {
+        Some(m) => m.cells(),
+        None => cells.map(operator::keeper).transpose()?,
+    };
     let (log, _guard, level) = log::open(&told.name, form);
     let executor = Rc::new(LocalExecutor::new());
     let (module, events) = async_channel::bounded(MAILBOX);
--- a/crates/gateway/src/user.rs
+++ b/crates/gateway/src/user.rs
@@ -93,6 +93,19 @@
     at: At,
 }
 
+#[derive(clap::Args)]
+pub struct Move {
+    tenant: String,
+    /// Where its submissions go from now on
+    #[arg(required = true)]
+    cells: Vec<String>,
+    /// Takes the move back by itself unless confirmed in time, as 2m
+    #[arg(long, value_name = "TIME")]
+    confirm_within: Option<Span>,
+    #[command(flatten)]
+    at: At,
+}
+
 #[derive(clap::Args)]
 pub struct Listed {
     #[command(flatten)]
@@ -339,6 +352,21 @@
     say(&if t.at.json { json!({"done": done}).to_string() } else { done.to_string() })
 }
 
+pub async fn cells(l: Listed) -> Done {
+    match get(Get { path: "/settings/cells".into(), at: l.at }).await {
+        Err(Failed(_, 5)) => say("there are no cells"),
+        other => other,
+    }
+}
+
+pub async fn move_tenant(m: Move) -> Done {
+    let path =
+        format!("/settings/cells/tenant[name={}]/cell", m.tenant.replace('\\', "\\\\").replace(']', "\\]"));
+    let value = Some(json!(m.cells).to_string());
+    let (replace, delete, id) = (true, false, None);
+    set(Set { path, value, replace, delete, confirm_within: m.confirm_within, id, at: m.at }).await
+}
+
 pub async fn revisions(l: Listed) -> Done {
     match get(Get { path: "/state/revision[number=*]".into(), at: l.at }).await {
         Err(Failed(_, 5)) => Ok(()),
--- a/crates/gateway/tests/cells.rs
+++ b/crates/gateway/tests/cells.rs
@@ -1,11 +1,15 @@
 //! Tenants confined to cells, at the built gateway, between stand-ins on loopback.
 
 mod common;
+mod managed;
 
-use common::*;
+use common::{answer, done, engine, id, started, told, Client, Gateway, Seen};
+use managed::{client, get, runtime, set};
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 fn ask(c: &mut Client, call: u64, tenant: &str) {
@@ -101,3 +105,120 @@
         assert!(settled.abs_diff(lent) <= 1, "{settled} lent");
     }
 }
+
+/// Lines, and when they came.
+type Reached = Arc<Mutex<Vec<(String, Instant)>>>;
+
+/// An engine that now and then loses a connection, and when each forward reached it.
+fn failing(every: usize) -> (SocketAddr, Reached) {
+    let (nth, reached) = (AtomicUsize::new(0), Reached::default());
+    let told = reached.clone();
+    let (at, _) = engine(move |line, _| {
+        if !line.starts_with("fetch") {
+            return (Vec::new(), false);
+        }
+        told.lock().unwrap().push((line.to_string(), Instant::now()));
+        std::thread::sleep(Duration::from_millis(3));
+        match nth.fetch_add(1, Ordering::Relaxed) % every == every - 1 {
+            true => (Vec::new(), true),
+            false => (done(line, "a\tb\tc\n"), false),
+        }
+    });
+    (at, reached)
+}
+
+/// Two tenants for a while; the first one is moved from cell a to cell b in the midst of it, or not.
+fn day(test: &str, moves: bool) -> Option<Instant> {
+    let engines: Vec<_> = [19, 23, 17, 29, usize::MAX, usize::MAX].map(failing).into();
+    let names = ["a1", "a2", "b1", "b2", "c1", "c2"];
+    let listed: Vec<(&str, SocketAddr)> = names.iter().zip(&engines).map(|(n, e)| (*n, e.0)).collect();
+    let class = |name: &str, semantics: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": semantics, "worth": 1.0});
+    let (told, roster) = told(1, json!([class("lookup", "pure"), class("post", "side_effect")]), &listed);
+    let at = SocketAddr::new(told["listen"].as_str().unwrap().parse::<SocketAddr>().unwrap().ip(), 9339);
+    let pins: serde_json::Map<String, Value> = names.iter().map(|n| (n.to_string(), json!(n[..1]))).collect();
+    let operator = json!({"management": {"listen": at.to_string()}, "cells": {"names": {"a": 1, "b": 1, "c": 1},
+        "named_by_clients": true, "engines": pins, "tenants": {"t1": ["a"], "t2": ["c"]}}});
+    let gateway = started(test, told, roster, Some(operator));
+    let clients: Vec<_> = (0..6u64)
+        .map(|who| {
+            let mut c = Client::of(&gateway);
+            std::thread::spawn(move || {
+                let (mut open, mut settled, mut asked, mut over) = (BTreeSet::new(), 0, 0, 0);
+                while over < 200 {
+                    while asked < 200 && open.len() < 16 {
+                        asked += 1;
+                        let (call, band) = (who * 1000 + asked, ["lookup", "post"][asked as usize % 2]);
+                        let tenant = if who < 4 { "t1" } else { "t2" };
+                        c.say(&format!(
+                            r#"{{"jsonrpc":"2.0","id":{call},"method":"{band}","params":{{"id":"{call:016x}","wait":4000,"bytes":"c2VsZWN0IDE=","tenant":"{tenant}"}}}}"#
+                        ));
+                        open.insert(call);
+                    }
+                    let told = c.hear();
+                    assert!(open.remove(&told["id"].as_u64().unwrap()), "a second answer: {told}");
+                    settled += told["result"].is_object() as u32;
+                    over += 1;
+                }
+                settled
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(80));
+    let moved = moves.then(|| {
+        runtime().block_on(async {
+            let mut c = client(at).await;
+            assert_eq!(get(&mut c, "/state/engine[name=a1]/cell").await.unwrap(), json!("a"));
+            let nowhere =
+                set(&mut c, "/settings/cells/tenant[name=t1]/cell", json!(["z"])).await.unwrap_err();
+            assert!(nowhere.message().contains("there is no cell z"), "{nowhere:?}");
+            // A cell without a ready engine takes nobody in.
+            set(&mut c, "/settings/cells/cell[name=empty]/weight", json!("0.0")).await.unwrap();
+            let nowhere =
+                set(&mut c, "/settings/cells/tenant[name=t1]/cell", json!(["empty"])).await.unwrap_err();
+            assert!(nowhere.message().ends_with("no engine there is ready"), "{nowhere:?}");
+        });
+        // As an operator would.
+        let said = std::process::Command::new(env!("CARGO_BIN_EXE_ironstair"))
+            .args(["move", "t1", "b", "--at", &at.to_string()])
+            .output()
+            .unwrap();
+        assert!(said.status.success(), "{}", String::from_utf8_lossy(&said.stderr));
+        Instant::now()
+    });
+    let settled: Vec<u32> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    assert!(settled[4..].iter().all(|n| *n == 200), "the other tenant is settled throughout: {settled:?}");
+    assert!(settled.iter().sum::<u32>() > 1000, "{settled:?}");
+    let mut forwards: BTreeMap<String, u32> = BTreeMap::new();
+    let mut last_in_old = None;
+    for (nth, (_, reached)) in engines.iter().enumerate() {
+        for (line, when) in reached.lock().unwrap().iter() {
+            let call = u64::from_str_radix(id(line), 16).unwrap();
+            let first = call < 4000;
+            assert_eq!(first, nth < 4, "{line} at {}", names[nth]);
+            if line.contains(" c=post,") {
+                *forwards.entry(id(line).into()).or_default() += 1;
+            }
+            if nth < 2 {
+                last_in_old = last_in_old.max(Some(*when));
+            }
+            assert!(moves || !(2..4).contains(&nth), "nobody has moved");
+        }
+    }
+    assert!(forwards.values().all(|n| *n == 1), "once-only ones are forwarded once");
+    if let (Some(moved), Some(last)) = (moved, last_in_old) {
+        // What was on its way when the change was answered may still come in.
+        assert!(last < moved + Duration::from_millis(500), "{:?} after the move", last - moved);
+        assert!(engines[2].1.lock().unwrap().len() + engines[3].1.lock().unwrap().len() > 100);
+    }
+    last_in_old
+}
+
+#[test]
+fn case_1_a_tenant_moves_while_hundreds_run_and_engines_of_both_cells_fail() {
+    day("cells-move", true);
+}
+
+#[test]
+fn case_1_control_without_a_move_its_submissions_stay_where_they_are() {
+    day("cells-stay", false);
+}
--- a/crates/gateway/tests/yang.rs
+++ b/crates/gateway/tests/yang.rs
@@ -68,7 +68,27 @@
         ("/cold/warm-after", some(json!(-1))),
         ("/log/level", some(json!("loud"))),
         ("/log", some(json!({"colour": true}))),
+        ("/ration", some(json!({}))),
+        ("/cells", some(json!({}))),
+        ("/cells", some(json!({"cell": []}))),
+        ("/cells", some(json!({"shard": 1}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "shard": 2}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "shard": 0}))),
+        ("/cells", some(json!({"cell": [{"name": "a", "weight": "-1.0"}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}, {"name": "a"}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "engine": [{"name": "e1"}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "engine": [{"name": "e1", "cell": "b"}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "tenant": [{"name": "t"}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "tenant": [{"name": "t", "cell": ["a", "b"]}]}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "turn-back": 5, "lend": "0.5"}))),
+        ("/cells", some(json!({"cell": [{"name": "a"}], "lend": "1.5"}))),
         // And what both take.
+        ("/cells", some(json!({"cell": [{"name": "a"}]}))),
+        (
+            "/cells",
+            some(json!({"cell": [{"name": "a"}, {"name": "b", "weight": "0.0"}], "shard": 2, "lend": "0.5",
+            "engine": [{"name": "e1", "cell": "b"}], "tenant": [{"name": "t 1", "cell": ["b", "a"]}]})),
+        ),
         ("/band/0/expected", some(json!(1))),
         ("/band/0/payoff", some(json!("0.000001"))),
         ("/band/0/expected-stretch", some(json!("1000.0"))),
@@ -144,6 +164,6 @@
             assert_eq!(judge.is_some(), ours.is_err() && !fixed, "{case:?}: {judge:?}, {ours:?}");
             *if judge.is_some() { &mut refused } else { &mut taken } += 1;
         }
-        assert!(refused >= 40 && taken >= 9, "{refused} refused, {taken} taken");
+        assert!(refused >= 54 && taken >= 11, "{refused} refused, {taken} taken");
     });
 }
--- a/crates/mail/src/window.rs
+++ b/crates/mail/src/window.rs
@@ -4,6 +4,7 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use ironstair::{Mandate, Ms};
+use ironstair_cells::Keeper;
 use ironstair_tree::state::Snapshot;
 use std::sync::Arc;
 
@@ -21,6 +22,7 @@
     pub bands: Vec<Told>,
     /// The longest hard limit.
     pub longest: Ms,
+    pub cells: Option<Keeper>,
     /// Told once it is done.
     pub done: Sender<()>,
 }
--- a/crates/manage/src/desk.rs
+++ b/crates/manage/src/desk.rs
@@ -1,15 +1,18 @@
 //! The manager's actor, and the desk at which others ask it.
 
 use crate::file::Journal;
-use crate::start::{bands, Started};
+use crate::start::{bands, keeper, Started};
 use async_channel::Sender as Requests;
 use ironstair::Ms;
+use ironstair_cells::moves::may_move;
+use ironstair_cells::Cells;
 use ironstair_change::document::Level;
 use ironstair_change::journal::{Kept, Record};
 use ironstair_change::plan::{plan, Origin, Roll};
 use ironstair_change::revisions::{Action, Ask, Input, Ledger, Refusal};
 use ironstair_change::Document;
 use ironstair_mail::clock::{span, Clock};
+use ironstair_mail::number;
 use ironstair_mail::window::{Amendment, Request, Window};
 use ironstair_tree::state::{self, Snapshot};
 use ironstair_tree::{Edit, Leaves, Path, Schema};
@@ -241,7 +244,15 @@
                     let _ = tell.send(self.trees.borrow().clone());
                 }
                 Some(Order::Set { edits, who, what, commit, answer }) => {
-                    let how = match self.candidate(&edits) {
+                    let candidate = match self.candidate(&edits) {
+                        Ok(document) if document.cells != self.ledger.running().cells => {
+                            // Whether a tenant may move goes by what is ready now.
+                            self.look().await;
+                            self.moves(&document).map(|()| document)
+                        }
+                        other => other,
+                    };
+                    let how = match candidate {
                         Err(wrong) => Err(Refused::Wrong(wrong)),
                         Ok(document) => {
                             self.hand(Input::Asked(Ask::Set { who, what, document, commit })).await
@@ -268,6 +279,27 @@
         }
     }
 
+    /// Whether each tenant whose pin changes may move to where it is pinned then.
+    fn moves(&self, to: &Document) -> Result<(), Vec<String>> {
+        let (Some(cells), Some(keeper)) = (&to.cells, keeper(to)) else { return Ok(()) };
+        let engines = self.was.engines.iter().filter(|(_, e)| e.view.standing == ironstair::Standing::Ready);
+        let ready = engines.map(|(_, e)| keeper.engine(e.id)).fold(Cells::default(), Cells::with);
+        let before = self.ledger.running().cells.iter().flat_map(|c| &c.tenant);
+        let before: Vec<_> = before.collect();
+        let moved = cells.tenant.iter().filter(|t| !before.contains(t));
+        let refused = moved.filter_map(|t| {
+            let there = keeper.tenant(number(t.name.as_bytes()));
+            let why = may_move(there, ready, Cells::default()).err()?;
+            Some(format!("/settings/cells/tenant[name={}]/cell: {why}", t.name))
+        });
+        let refused: Vec<String> = refused.collect();
+        if refused.is_empty() {
+            Ok(())
+        } else {
+            Err(refused)
+        }
+    }
+
     /// Hands one input to the ledger and carries out what it asks for, up to its answer.
     async fn hand(&mut self, input: Input<Document>) -> Result<u64, Refused> {
         let mut inputs = vec![input];
@@ -328,7 +360,7 @@
         let mandate = self.origin.mandate(&document, &self.roll);
         let (bands, longest) = bands(&self.roll, &document, &mandate);
         let (done, told) = async_channel::bounded(1);
-        let amendment = Amendment { mandate, bands, longest, done };
+        let amendment = Amendment { mandate, bands, longest, cells: keeper(&document), done };
         if self.requests.send(Request::Amend(Box::new(amendment))).await.is_ok()
             && timeout(span(AMEND_WITHIN), told.recv()).await.is_err()
         {
--- a/crates/manage/src/start.rs
+++ b/crates/manage/src/start.rs
@@ -2,10 +2,12 @@
 
 use crate::file::Journal;
 use ironstair::{Mandate, Ms};
+use ironstair_cells::Keeper;
 use ironstair_change::journal::{Found, Kept};
 use ironstair_change::plan::{plan, Origin, Roll};
 use ironstair_change::revisions::Ledger;
-use ironstair_change::{Document, Frame};
+use ironstair_change::{Cells, Document, Frame};
+use ironstair_mail::number;
 use ironstair_mail::window::Told;
 use ironstair_tree::{Leaves, Schema};
 use std::path::Path;
@@ -32,10 +34,11 @@
     names: &[String],
     limits: &[Ms],
     frame: Frame,
+    cells: Option<Cells>,
     folder: Option<&Path>,
 ) -> Result<Started, String> {
     let schema = Schema::shipped()?;
-    let told = Document::told(&mandate, names, limits, &frame);
+    let told = Document { cells, ..Document::told(&mandate, names, limits, &frame) };
     // What is read and set must be able to say what runs.
     let leaves = schema.settings(&told).map_err(|m| format!("the settings do not fit the tree: {m}"))?;
     if let Err(faults) = plan(&told, &told, &Roll::of(&told), &frame) {
@@ -94,11 +97,20 @@
         self.origin.mandate(self.ledger.running(), &self.roll)
     }
 
+    pub fn cells(&self) -> Option<Keeper> {
+        keeper(self.ledger.running())
+    }
+
     pub fn bands(&self) -> (Vec<Told>, Ms) {
         bands(&self.roll, self.ledger.running(), &self.mandate())
     }
 }
 
+/// What is kept of a document's cells; one that was let through can be kept.
+pub fn keeper(document: &Document) -> Option<Keeper> {
+    document.cells.as_ref().and_then(|c| c.keeper(number).ok())
+}
+
 /// The bands by index, and the longest hard limit.
 pub fn bands(roll: &Roll, document: &Document, mandate: &Mandate) -> (Vec<Told>, Ms) {
     let told = roll.0.iter().zip(&mandate.bands).map(|(slot, terms)| Told {
--- a/crates/manage/tests/journal.rs
+++ b/crates/manage/tests/journal.rs
@@ -26,7 +26,7 @@
 
 fn advice_after(folder: &Path) -> (u32, Vec<String>) {
     let (mandate, names, limits, frame) = told();
-    let started = open(mandate, &names, &limits, frame, Some(folder)).unwrap();
+    let started = open(mandate, &names, &limits, frame, None, Some(folder)).unwrap();
     // What the decision module begins with is what the ledger says runs.
     assert_eq!(started.mandate().come_back_most, started.ledger.running().advice as f64);
     (started.ledger.running().advice, started.notes)
@@ -90,6 +90,6 @@
 fn what_is_told_and_does_not_fit_the_tree_is_refused_by_its_field() {
     let (mut mandate, names, limits, frame) = told();
     mandate.bands[0].payoff = 0.0;
-    let why = open(mandate, &names, &limits, frame, None).err().unwrap();
+    let why = open(mandate, &names, &limits, frame, None, None).err().unwrap();
     assert!(why.contains("/settings/band[name=lookup]/payoff: 0.0 is outside"), "{why}");
 }
--- a/crates/tree/src/leaves.rs
+++ b/crates/tree/src/leaves.rs
@@ -200,7 +200,13 @@
                 };
                 fill(child, &at.child(&child.name, None), value, to)?;
             }
-            Ok(())
+            // A map of leaves can't say that a container is there with nothing in it, and none here may be.
+            let empty = node.presence && !to.range(at.clone()..).next().is_some_and(|l| l.0.starts_with(at));
+            if empty {
+                Err(misfit(at, "is there with nothing in it"))
+            } else {
+                Ok(())
+            }
         }
         (Kind::Container, _) => Err(misfit(at, "a container needs an object")),
         (Kind::List { key }, Json::Array(entries)) => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,6 +312,11 @@
         self.due(now, out);
     }
 
+    /// From its next forward on, the submission goes to engines of these cells.
+    pub fn confine(&mut self, sub: usize, cells: u64) {
+        self.subs.iter_mut().skip(sub).take(1).for_each(|s| s.of.cells = cells);
+    }
+
     pub fn outcome(&mut self, now: Ms, sub: usize, what: Outcome, closed: bool, out: &mut dyn Outlet) {
         self.now = now;
         let Some(fwd) = self.subs.get_mut(sub).and_then(|s| s.out.take()) else { return };
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -444,3 +444,16 @@
     g.roster(now + 1.0, false, &[Listed { standing: Standing::Ready, ..away }], &mut sheet);
     assert_eq!(sheet.forwards(), [(200, 1)]);
 }
+
+#[test]
+fn a_submission_that_is_confined_anew_goes_to_its_new_cells_with_its_next_forward() {
+    let mut g = two_cells(two_bands());
+    assert_eq!(send(&mut g, 1.0, 0, within_cell(0, 10.0)), [(0, 0)]);
+    g.confine(0, 2);
+    let mut sheet = Sheet::default();
+    g.due(2.0, &mut sheet);
+    assert_eq!(sheet.forwards(), [], "what runs finishes where it is");
+    g.outcome(3.0, 0, Outcome::Error, false, &mut sheet);
+    assert_eq!(sheet.forwards(), [(0, 1)]);
+    g.confine(99, 1);
+}
