--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -38,10 +38,20 @@
 struct Known {
     name: String,
     place: Place,
-    orders: Sender<Order>,
+    /// Its actor's mailbox, once it was asked for something: one that never is costs no more than its line.
+    orders: Option<Sender<Order>>,
     connections: Rc<Cell<u32>>,
 }
 
+impl Known {
+    /// This process of the engine is over: its actor ends with what it holds.
+    fn close(&self) {
+        if let Some(orders) = &self.orders {
+            orders.close();
+        }
+    }
+}
+
 struct Hands {
     shared: Rc<Shared>,
     now: Ms,
@@ -105,9 +115,16 @@
         }
     }
 
-    fn order(&self, engine: usize, order: Order) -> bool {
-        let to = self.engines.get(engine).and_then(Option::as_ref);
-        to.is_some_and(|e| e.orders.try_send(order).is_ok())
+    fn order(&mut self, engine: usize, order: Order) -> bool {
+        let Some(e) = self.engines.get_mut(engine).and_then(Option::as_mut) else { return false };
+        let orders = e.orders.get_or_insert_with(|| {
+            let (orders, mailbox) = async_channel::bounded(MAILBOX);
+            let (shared, own) = (self.shared.clone(), orders.clone());
+            let actor = Engine::new(engine, e.place.address, shared, own, e.connections.clone());
+            self.shared.executor.spawn(actor.run(mailbox)).detach();
+            orders
+        });
+        orders.try_send(order).is_ok()
     }
 }
 
@@ -395,7 +412,7 @@
 fn roster(gateway: &mut Gateway, hands: &mut Hands, lines: BTreeMap<String, Place>) {
     for at in 0..hands.engines.len() {
         if let Some(e) = hands.engines[at].take_if(|e| !lines.contains_key(&e.name)) {
-            e.orders.close();
+            e.close();
         }
     }
     // The one place where an engine's index is given back: once it is gone and no submission held met it.
@@ -419,19 +436,14 @@
         // Another process by now, maybe elsewhere.
         let anew = |e: &Known| e.place.address != address || (e.place.since - since).abs() >= 1.0;
         if let Some(e) = known.take_if(|e| anew(e)) {
-            e.orders.close();
+            e.close();
         }
         if let Some(e) = known {
             e.place = place;
             continue;
         }
         info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
-        let (orders, mailbox) = async_channel::bounded(MAILBOX);
-        let connections: Rc<Cell<u32>> = Rc::default();
-        let (shared, own) = (hands.shared.clone(), orders.clone());
-        let actor = Engine::new(engine, address, shared, own, connections.clone());
-        hands.shared.executor.spawn(actor.run(mailbox)).detach();
-        *known = Some(Known { name, place, orders, connections });
+        *known = Some(Known { name, place, orders: None, connections: Rc::default() });
     }
     if let Some(keeper) = &mut hands.cells {
         keeper.roster(listed.iter().filter(|l| l.standing == Standing::Ready).map(|l| l.id));
