--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -6,7 +6,7 @@
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
 use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
-use ironstair_cells::{Goes, Keeper};
+use ironstair_cells::{Cells, Goes, Keeper};
 use ironstair_mail::pool::Chain;
 use ironstair_mail::wait::next;
 use ironstair_mail::window::{Amendment, Request, Window};
@@ -31,6 +31,8 @@
     priority: Option<u8>,
     client: Option<Sender<Reply>>,
     engine: Option<usize>,
+    /// The cells of that when it was forwarded there.
+    cells: u64,
     /// Engines it was forwarded to: the module remembers them as long as it is held.
     met: Vec<usize>,
 }
@@ -129,6 +131,15 @@
 }
 
 impl Hands {
+    /// A forward has ended; its tenant's move may be over with it.
+    fn left_its_cell(&mut self, submission: usize) {
+        let (now, Some(h)) = (self.now, self.held.get(submission).and_then(Option::as_ref)) else { return };
+        let (tenant, cells) = (h.tenant, Cells(h.cells));
+        if self.cells.as_mut().is_some_and(|k| h.engine.is_some() && k.ended(now, tenant, cells)) {
+            info!(self.shared.log, "tenant {:012x} has moved", tenant);
+        }
+    }
+
     /// Settled, in time or not, its client still there.
     fn settled(&mut self, submission: usize) {
         let (now, bands) = (self.now, self.shared.bands());
@@ -143,8 +154,9 @@
 impl Outlet for Hands {
     fn forward(&mut self, submission: usize, engine: usize) {
         let id = self.subs.id(submission);
+        let cells = self.cells.as_ref().map_or(0, |k| k.engine(self.names.id(engine)).0);
         let Some(h) = self.held(submission) else { return };
-        h.engine = Some(engine);
+        (h.engine, h.cells) = (Some(engine), cells);
         h.met.push(engine);
         let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
         let of = Forward { id, band, statement, priority, limit };
@@ -238,6 +250,7 @@
             }
             Some(Event::Ended { id, what, rows }) => {
                 let Some(s) = hands.subs.find(id) else { continue };
+                hands.left_its_cell(s);
                 let open = hands.held[s].as_mut().is_some_and(|h| {
                     h.engine = None;
                     h.client.is_some()
@@ -268,7 +281,14 @@
     hands.shared.bands.replace(Rc::new(to.bands));
     hands.shared.longest.set(to.longest);
     if hands.cells.is_some() || to.cells.is_some() {
-        hands.cells = to.cells;
+        let was = std::mem::replace(&mut hands.cells, to.cells);
+        if let (Some(is), Some(was)) = (&mut hands.cells, &was) {
+            let out = hands.held.iter().flatten().filter(|h| h.engine.is_some());
+            is.succeeds(hands.now, was, out.map(|h| (h.tenant, Cells(h.cells))));
+            if is.moving() > 0 {
+                info!(hands.shared.log, "tenants move to other cells"; "tenants" => is.moving());
+            }
+        }
         move_tenants(gateway, hands);
     }
     gateway.amend(hands.now, to.mandate, hands);
@@ -404,6 +424,7 @@
         priority: None,
         client: Some(t.client),
         engine: None,
+        cells: 0,
         met: Vec::new(),
     });
     gateway.take(hands.now, s, Submission { left: limit - hands.now, cells, ..t.of }, hands);
