Read over: the referee's outcomes as before, a table entry that could not fail is out

Cause: while amendments were brought into the generated events, work settled had been set to what clients told; with amendments kept to what the referee can add up that is not needed, and the learnt work is played again. An entry of the paths' table passed whatever was answered. No code outside tests changed.

--- a/crates/tree/src/path.rs
+++ b/crates/tree/src/path.rs
@@ -252,8 +252,8 @@
     fn what_is_no_path_is_refused() {
         let deep = "/a".repeat(99);
         let long = "a".repeat(9999);
-        for text in ["//a", "/a[b]", "/a[b=c", "/a[b=c]d", "/a[b=c][d=e]", "/a//b", &deep, &long] {
-            assert!(Pattern::read(text).is_err() || text == "//a", "{text}");
+        for text in ["/a[b]", "/a[b=c", "/a[b=c]d", "/a[b=c][d=e]", "/a//b", &deep, &long] {
+            assert!(Pattern::read(text).is_err(), "{text}");
         }
     }
 }
--- a/crates/tree/tests/tree.rs
+++ b/crates/tree/tests/tree.rs
@@ -95,6 +95,8 @@
             "/settings/band[name=lookup]: the entry says",
         ),
         (update("/settings/band", json!([{"payoff": "1"}])), "/settings/band: an entry without its name"),
+        (update("/settings/ration", json!({})), "/settings/ration: is there with nothing in it"),
+        (update("/settings", json!({"cells": {"cell": []}})), "/settings/cells: is there with nothing in it"),
         (update("/state/process/name", json!("x")), "/state/process/name: only settings"),
         (
             update("/settings/band[name=new]", json!({"payoff": "1.0"})),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,9 +8,8 @@
 use ironstair::*;
 use quickcheck::{Gen, QuickCheck, TestResult};
 
-/// Work as told by the client: the referee counts cold shares by that, the module by what it has learnt.
 const OUTCOMES: [Outcome; 8] =
-    [Settled(Some(100.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
+    [Settled(Some(60.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
 
 struct Play {
     now: Ms,
