Estimates of work and memory go through a line learnt in logarithms

One factor for each band, and 1.2 of the estimate for memory, were at fault (logic.rs: bias, GRANT; the adapter dropped the low 12 bits of used_up). Now both are learnt, and grants go half a deviation above the middle.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,7 +4,7 @@
 use crate::link::{carry, Parcel};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
-use ironstair::{Ms, Outcome};
+use ironstair::{Cost, Ms, Outcome};
 use ironstair_mail::pool::{Buffer, Chain};
 use ironstair_mail::wait::next;
 use ironstair_mail::{Event, Forward, Id, Order, Shared};
@@ -18,6 +18,8 @@
 /// More pages than the longest result has, and its bytes.
 const PAGES_MOST: f64 = 64.0;
 const RESULT_MOST: usize = 48_000;
+/// More memory than any machine has, in MB.
+const MEMORY_MOST: f64 = 1e8;
 /// So many connections to an engine at most: all that is open on one is lost with it.
 const LINKS_MOST: usize = 16;
 /// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
@@ -27,9 +29,9 @@
     of: Forward,
     link: u64,
     sent: Ms,
-    /// Once the engine is done: its pages as they come in, and the work it took.
+    /// Once the engine is done: its pages as they come in, and what it needed.
     pages: Vec<Option<Buffer>>,
-    work: Option<Ms>,
+    cost: Option<Cost>,
 }
 
 struct Link {
@@ -180,7 +182,7 @@
 
     fn forward(&mut self, of: Forward) {
         let (id, link, sent) = (of.id, self.link(), self.shared.clock.now());
-        self.flights.insert(id, Flight { of, link, sent, pages: Vec::new(), work: None });
+        self.flights.insert(id, Flight { of, link, sent, pages: Vec::new(), cost: None });
         if let Some(l) = self.links.get_mut(&link) {
             l.open += 1;
             if l.up {
@@ -291,7 +293,10 @@
                     return self.spoilt(link, "no number of pages");
                 }
                 let most = self.shared.work_most();
-                f.work = fields.number("cost").filter(|w| (0.0..=most).contains(w));
+                let work = fields.number("cost").filter(|w| (0.0..=most).contains(w));
+                // Without it, or with what is no amount of memory, the work still counts.
+                let need = fields.number("need").filter(|n| (0.0..=MEMORY_MOST).contains(n));
+                f.cost = work.map(|work| Cost { work, memory_mb: need.unwrap_or(0.0) });
                 f.pages.resize_with(pages as usize, || None);
                 if f.pages.len() > 1 {
                     self.tell(&id, |f, line| {
@@ -320,11 +325,11 @@
             _ => return self.spoilt(link, "no such page"),
         }
         if f.pages.iter().all(Option::is_some) {
-            let (rows, work) = (std::mem::take(&mut f.pages), f.work);
+            let (rows, cost) = (std::mem::take(&mut f.pages), f.cost);
             if rows.len() > 1 {
                 self.tell(&id, |_, line| lines::no_more(line, text(&id)));
             }
-            self.end(&id, Outcome::Settled(work), Some(Chain(rows.into_iter().flatten().collect())));
+            self.end(&id, Outcome::Settled(cost), Some(Chain(rows.into_iter().flatten().collect())));
         }
     }
 
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -2,7 +2,7 @@
 
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
-use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
+use ironstair::{Cost, Listed, Ms, Outcome, Outlet, Standing, Submission};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 
@@ -301,7 +301,10 @@
                     gateway.report(now, e, &values, pen!());
                 }
                 let what = match status {
-                    1 => Outcome::Settled((used > 0).then_some((used / 4096) as f64)),
+                    1 => Outcome::Settled((used > 0).then(|| Cost {
+                        work: (used / 4096) as f64,
+                        memory_mb: (used % 4096 * 4) as f64,
+                    })),
                     0 => Outcome::Error,
                     2 => Outcome::Full,
                     3 => Outcome::TimedOut,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -146,10 +146,17 @@
     pub later_try: bool,
 }
 
+/// What a submission needed: the work of all its threads, and memory; zero where that is not told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    pub work: Ms,
+    pub memory_mb: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
-    /// With the work it took, where the answer tells.
-    Settled(Option<Ms>),
+    /// With what it needed, where the answer tells.
+    Settled(Option<Cost>),
     Error,
     Full,
     TimedOut,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,8 +48,10 @@
 const NEARLY_NONE: f64 = 1e-6;
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.9;
-/// A guess of memory falls short now and then; spilling costs more than a wider grant.
-const GRANT: f64 = 1.2;
+/// A guess of memory falls short now and then; spilling costs more than a grant wider by so many deviations.
+const GRANT: f64 = 0.5;
+/// Outcomes' worth of deviation that a guess starts with.
+const LITTLE: f64 = 3.0;
 
 /// A sum and its weight, both fading; brought up to date when touched.
 #[derive(Clone, Copy, Default)]
@@ -72,6 +74,34 @@
     }
 }
 
+/// What an estimate stands for, learnt from what answers tell: a line through the logarithms of both. They
+/// scatter, so that a large one is more often too large; a slope of one and no shift while little is known.
+#[derive(Clone, Copy, Default)]
+struct Guess {
+    sums: [f64; 6], // weight, x, y, xx, xy, yy
+    at: Ms,
+}
+
+impl Guess {
+    fn add(&mut self, now: Ms, estimate: f64, is: f64) {
+        if estimate > 0.0 && is > 0.0 {
+            let (keep, x, y) = (0.5f64.powf((now - self.at) / LONG_HALF), estimate.ln(), is.ln());
+            let new = [1.0, x, y, x * x, x * y, y * y];
+            self.sums.iter_mut().zip(new).for_each(|(s, n)| *s = *s * keep + n);
+            self.at = now;
+        }
+    }
+    /// As many deviations above the middle as asked for.
+    fn of(&self, estimate: f64, above: impl Fn(f64) -> f64) -> f64 {
+        let ([n, sx, sy, sxx, sxy, syy], x) = (self.sums, estimate.ln());
+        let m = n.max(NEARLY_NONE);
+        let (xx, xy, yy) = (sxx - sx * sx / m, sxy - sx * sy / m, syy - sy * sy / m);
+        let slope = (xy + LITTLE) / (xx + LITTLE);
+        let spread = ((yy - slope * xy).max(0.0) / (n + 1.0)).sqrt();
+        (x + (sy - sx) / (n + 1.0) + (slope - 1.0) * (x - sx / m) + above(spread)).exp()
+    }
+}
+
 /// Permuted congruential generator, 32 bits out of 64.
 #[derive(Default)]
 struct Pcg(u64);
@@ -173,7 +203,8 @@
     threads: f64,
     started: f64,
     work: Fade,
-    bias: Fade,
+    work_of: Guess,
+    memory_of: Guess,
     fleet: BTreeMap<u64, Fade>, // by the cells of the engines that it was learnt from
     best: f64,
     longest_left: Ms,
@@ -285,7 +316,8 @@
             self.bands[of.band].charged = level.max(self.bands[of.band].charged);
         }
         let (terms, band) = (&self.m.bands[of.band], &mut self.bands[of.band]);
-        let guess = of.work.map(|h| h * band.bias.mean().unwrap_or(1.0));
+        // The mean of what scatters evenly by its logarithm.
+        let guess = of.work.map(|h| band.work_of.of(h, |spread| spread * spread / 2.0));
         if let Some(work) = guess {
             band.work.add(now, LONG_HALF, work, 1.0);
         }
@@ -339,12 +371,13 @@
         if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Swept | Outcome::Withdrawn) && keyed {
             self.keys.entry(s.of.key).or_default().1 = now + self.m.key_rest;
         }
-        if let Outcome::Settled(Some(work)) = what {
+        if let Outcome::Settled(Some(cost)) = what {
             match s.of.work {
-                Some(hint) => band.bias.add(now, LONG_HALF, work, hint),
-                None => band.work.add(now, LONG_HALF, work, 1.0),
+                Some(hint) => band.work_of.add(now, hint, cost.work),
+                None => band.work.add(now, LONG_HALF, cost.work, 1.0),
             }
-            s.work = work.max(1.0);
+            band.memory_of.add(now, s.of.memory_mb, cost.memory_mb);
+            s.work = cost.work.max(1.0);
         }
         let (work, open, in_time, blind) = (s.work, s.open, now <= s.aim, self.blind);
         let cells = s.of.cells;
@@ -782,14 +815,15 @@
         let span = self.m.ration.map_or(0.0, |r| r.span);
         self.further.retain(|&t| t >= now - span);
         self.taken_at.retain(|&t| t >= now - span);
-        let (usual, e) = (self.usual_work(b), &mut self.engines[engine]);
+        let (usual, band, e) = (self.usual_work(b), &self.bands[b], &mut self.engines[engine]);
         e.threads += threads;
         e.cold_sent.push_back((now, usual));
         e.cold_sent.retain(|c| c.0 >= now - self.m.fall_span);
         e.aside = e.aside.map(|(_, gap)| (now + gap, gap));
         if !again && (self.m.priorities_heeded || self.m.grants_heeded) {
             let least = self.m.kinds.iter().map(|k| k.memory_mb).fold(f64::INFINITY, f64::min);
-            let grant = if self.m.grants_heeded { memory * GRANT } else { 0.0 };
+            let known = self.m.grants_heeded && memory > 0.0;
+            let grant = if known { band.memory_of.of(memory, |spread| GRANT * spread) } else { 0.0 };
             out.terms(sub, self.priority(b), grant.min(least * self.m.most_grant));
         }
         out.forward(sub, engine);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,7 +9,7 @@
 use quickcheck::{Gen, QuickCheck, TestResult};
 
 const OUTCOMES: [Outcome; 8] =
-    [Settled(Some(60.0)), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
+    [Settled(Some(Cost { work: 60.0, memory_mb: 90.0 })), Error, Full, TimedOut, NoConnection, Reset, Withdrawn, Unsent];
 
 struct Play {
     now: Ms,
