--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -234,6 +234,8 @@
             in_order: slot.in_order,
             zones: indices(&band.zone, &self.frame.zones),
             kinds: indices(&band.kind, &self.frame.kinds),
+            holds: false,
+            waits: false,
             closed: false,
         };
         if let Some((told, was)) = told {
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -45,7 +45,7 @@
     all.collect::<Option<_>>().map(Some).ok_or_else(|| format!("{path} holds what is no index"))
 }
 
-fn terms(c: &Value, threads: Option<&Value>) -> Result<Terms, String> {
+fn terms(c: &Value, threads: Option<&Value>, holds: bool, waits: bool) -> Result<Terms, String> {
     let within = match at(c, "group").and_then(Value::as_str) {
         None | Some("all") => Within::All,
         Some("zone") => Within::Zone,
@@ -70,12 +70,26 @@
         repeat,
         window,
         in_order: flag(c, "by_arrival")?,
+        holds,
+        waits,
         zones: numbers(c, "dcs_allowed")?,
         kinds: numbers(c, "machine_types_allowed")?,
         closed: false,
     })
 }
 
+/// What `family_info` says of one band; no where it says nothing.
+fn by_band(v: &Value, key: &str, band: usize) -> Result<bool, String> {
+    let path = format!("family_info.{key}");
+    match at(v, &path) {
+        None => Ok(false),
+        Some(all) => all
+            .get(band)
+            .and_then(Value::as_bool)
+            .ok_or_else(|| format!("{path}[{band}] is missing or not true or false")),
+    }
+}
+
 /// What the carrying goes by: how long to connect, how long an idle connection lives, how many forwards share
 /// one, how many submissions may be open, the longest hard limit, and what an engine's report names.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,7 +147,11 @@
     let threads = at(v, "family_info.threads_by_class").and_then(Value::as_array);
     let bands = list(v, "classes")?.iter().enumerate();
     let bands = bands
-        .map(|(i, c)| terms(c, threads.and_then(|t| t.get(i))).map_err(|e| format!("classes[{i}]: {e}")))
+        .map(|(i, c)| {
+            let [holds, waits] = ["class_load", "blocked_by_loads"].map(|key| by_band(v, key, i));
+            let threads = threads.and_then(|t| t.get(i));
+            terms(c, threads, holds?, waits?).map_err(|e| format!("classes[{i}]: {e}"))
+        })
         .collect::<Result<Vec<_>, _>>()?;
     let value = |list: &str, i: usize| at(v, list)?.get(i)?.as_f64();
     let kinds = at(v, "machine_types").and_then(Value::as_array).map_or(0, Vec::len);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,10 @@
     pub repeat: Repeat,
     pub window: Ms,
     pub in_order: bool,
+    /// Holds its table group on its engine while it runs.
+    pub holds: bool,
+    /// Stands still while another holds its table group there.
+    pub waits: bool,
     pub zones: Option<Vec<u16>>,
     pub kinds: Option<Vec<u16>>,
     /// Taken out of service: new ones are turned back, those taken before go on.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,8 @@
 const TRICKLE: Ms = 1000.0;
 /// An engine's report holds this long.
 const FRESH: Ms = 400.0;
+/// Threads a core at which an engine does the most work.
+const BUSY: f64 = 1.5;
 /// Probes for each submission taken, and the most at once: each costs engines work.
 const PROBES: f64 = 0.7;
 const AT_ONCE: f64 = 10.0;
@@ -49,7 +51,7 @@
 /// Share of the cold allowance used: capacity and the others' sendings are guesses.
 const COLD_SHARE: f64 = 0.9;
 /// A guess of memory falls short now and then; spilling costs more than a grant wider by so many deviations.
-const GRANT: f64 = 0.5;
+const GRANT: f64 = 1.0;
 /// Outcomes' worth of deviation that a guess starts with.
 const LITTLE: f64 = 3.0;
 
@@ -225,6 +227,7 @@
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
     probes: f64,
+    held: Fade, // threads of a query that an engine holds
     /// Crowded, the even share of an engine being less than a wide query: engines are asked, or tell nothing.
     asks: bool,
     blind: bool,
@@ -359,6 +362,7 @@
         let band = &mut self.bands[b];
         (band.threads, band.started) = (band.threads - threads, band.started - threads * fwd.sent);
         band.charged += threads * elapsed / weight;
+        self.held.add(now, LONG_HALF, threads * elapsed, elapsed);
         s.tried.push(fwd.engine);
         if matches!(what, Outcome::Full | Outcome::NoConnection | Outcome::Unsent) {
             // The last alone: an earlier one, sent at the same moment, may have run.
@@ -420,8 +424,9 @@
     pub fn report(&mut self, now: Ms, engine: usize, values: &[f64], out: &mut dyn Outlet) {
         let cores = self.engines[engine].cores;
         let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other);
-        // Cores idle while queries wait for memory in the engine's line: one held for each core is full.
-        let shares = shares.map(|(what, v)| if *what == Load::Held { v / cores } else { *v });
+        // A query held stands for the threads of a usual one; so many a core do the most work.
+        let held = self.held.mean().unwrap_or(1.0) / (cores * BUSY);
+        let shares = shares.map(|(what, v)| if *what == Load::Held { v * held } else { *v });
         if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
             self.engines[engine].report = Some((now, most));
         }
@@ -720,8 +725,8 @@
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let enters =
-            !self.asks || !self.heavy(b) || e.reported(self.now).is_some_and(|r| self.enters(s, e, r));
+        let told = e.reported(self.now);
+        let enters = told.map_or(!self.asks || !self.heavy(b), |r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
@@ -773,9 +778,13 @@
             order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i as usize].listed.id));
             order
         });
-        let able = order.iter().map(|&i| i as usize).filter(|&i| self.allowed(s, &self.engines[i]));
+        let mut able: Vec<usize> = order.iter().map(|&i| i as usize).collect();
+        able.retain(|&i| self.allowed(s, &self.engines[i]));
+        if self.m.bands[s.of.band].holds {
+            able.reverse();
+        }
         let warm = |&(nth, i): &(usize, usize)| self.cold_room(s, &self.engines[i], nth < HOMES);
-        able.enumerate().filter(warm).map(|o| o.1).collect()
+        able.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
     }
 
     /// By the order hashed from the table group: of its homes the least own threads a core, then the rest.
