Own threads over all engines keep to the even share where engines do not line up

At fault: with 30 to 68 gateways the bound of one engine is below one query, and one where none of its own run is always let in (open). Now, under pressure, own threads over all engines keep to cores x factor / gateways too; engines that line up queries guard themselves, and there it does not bind (family_info.when_short, now read).

--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -239,6 +239,7 @@
             closed: false,
         };
         if let Some((told, was)) = told {
+            (terms.holds, terms.waits) = (told.holds, told.waits);
             let keep = |same: bool, new: &mut f64, old: f64| {
                 if same {
                     *new = old;
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -183,6 +183,14 @@
         most_grant: number_or(v, "family_info.largest_share", 1.0)?,
         grants_heeded: flag(v, "family_info.takes_grants")?,
         priorities_heeded: flag(v, "family_info.lanes_count")?,
+        lines_up: match at(v, "family_info.when_short") {
+            None => true,
+            Some(_) => match word(v, "family_info.when_short")? {
+                "line_up" => true,
+                "cut" | "overcommit" => false,
+                other => return Err(format!("family_info.when_short {other} is unknown")),
+            },
+        },
         may_withdraw: flag(v, "policy_limits.may_cancel")?,
         may_probe: flag(v, "policy_limits.probes")?,
         reports: reports.collect(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,8 @@
     pub most_grant: f64,
     pub grants_heeded: bool,
     pub priorities_heeded: bool,
+    /// An engine short of memory lets queries wait; elsewhere they run and do more work, or all run slower.
+    pub lines_up: bool,
     pub may_withdraw: bool,
     pub may_probe: bool,
     /// What the values of an engine's report tell, in their order.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,8 +39,6 @@
 const TRICKLE: Ms = 1000.0;
 /// An engine's report holds this long.
 const FRESH: Ms = 400.0;
-/// Threads a core at which an engine does the most work.
-const BUSY: f64 = 1.5;
 /// Probes for each submission taken, and the most at once: each costs engines work.
 const PROBES: f64 = 0.7;
 const AT_ONCE: f64 = 10.0;
@@ -230,6 +228,7 @@
     held: Fade, // threads of a query that an engine holds
     /// Crowded, the even share of an engine being less than a wide query: engines are asked, or tell nothing.
     asks: bool,
+    share: f64,
     blind: bool,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
@@ -425,7 +424,7 @@
         let cores = self.engines[engine].cores;
         let shares = self.m.reports.iter().zip(values).filter(|r| *r.0 != Load::Other);
         // A query held stands for the threads of a usual one; so many a core do the most work.
-        let held = self.held.mean().unwrap_or(1.0) / (cores * BUSY);
+        let held = self.held.mean().unwrap_or(1.0) / (cores * FACTOR);
         let shares = shares.map(|(what, v)| if *what == Load::Held { v * held } else { *v });
         if let Some(most) = shares.filter(|v| v.is_finite()).max_by(f64::total_cmp) {
             self.engines[engine].report = Some((now, most));
@@ -527,6 +526,8 @@
 
     // Lowest charged work over weight first; if that fits nowhere, the next cell's, then the next band's.
     fn release(&mut self, out: &mut dyn Outlet) -> bool {
+        let cores: f64 = self.engines.iter().filter(|e| e.in_use()).map(|e| e.cores).sum();
+        self.share = (cores * FACTOR / self.m.gateways).max(4.0);
         let mut order: Vec<usize> = (0..self.bands.len()).collect();
         order.sort_by(|&a, &b| self.charge(a).total_cmp(&self.charge(b)));
         for b in order {
@@ -723,6 +724,7 @@
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
+        let fits = fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < self.share);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let told = e.reported(self.now);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,6 +81,7 @@
         kinds: vec![Kind { cores: 8.0, memory_mb: 8192.0 }; 2],
         most_grant: 0.5,
         priorities_heeded: true,
+        lines_up: true,
         most_forwards: 4,
         cold_from: 0.3,
         warm_after: 10_000.0,
