Time lacking against the usual time left counts as spent

Only marked later tries were counted (take), and clients here mark none. Where less is left than the submission is wanted within, its client lacks patience and nothing is taken off.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -207,7 +207,7 @@
     memory_of: Guess,
     fleet: BTreeMap<u64, Fade>, // by the cells of the engines that it was learnt from
     best: f64,
-    longest_left: Ms,
+    usual_left: Ms,
     learnt: Ms,
 }
 
@@ -324,10 +324,16 @@
             band.work.add(now, LONG_HALF, work, 1.0);
         }
         let work = guess.or(band.work.mean()).unwrap_or(terms.expected * terms.threads / 4.0).max(1.0);
-        // A later try, where marked, has spent what it lacks of the longest time left; others lack patience.
-        band.longest_left = band.longest_left.max(of.left);
-        let spent = if of.later_try { band.longest_left - of.left } else { 0.0 };
-        let (aim, limit) = (now + within(terms, work) - spent, now + of.left);
+        // What it lacks of the time that others come with was spent in a gateway that stood still or on earlier
+        // tries; where less is left than it is wanted within, and no later try is marked, its client lacks patience.
+        let (time, usual) = (within(terms, work), &mut band.usual_left);
+        *usual += match *usual {
+            0.0 => of.left,
+            usual if of.left > usual => 0.1 * (of.left - usual),
+            _ => -0.01 * time,
+        };
+        let lacks = if of.later_try || of.left > time { (*usual - of.left).max(0.0) } else { 0.0 };
+        let (aim, limit) = (now + time - lacks, now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
             self.subs.resize_with(sub + 1, Taken::default);
