Heavy bands leave engines that another band must have to the last

Ruled out: lookups, spread evenly and a fifth of the work. At fault: one order for bands that may go anywhere and bands bound to a kind (order).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,14 @@
     pub closed: bool,
 }
 
+impl Terms {
+    /// Whether an engine's place is among those that the band may go to.
+    pub fn fits(&self, line: &Listed) -> bool {
+        self.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
+            && self.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
     pub cores: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -766,11 +766,7 @@
             Repeat::Tagged(Within::MarkGroup) => other.marks == line.marks,
             _ => true,
         };
-        let fits = |t: &Terms| {
-            t.zones.as_ref().is_none_or(|z| z.contains(&line.zone))
-                && t.kinds.as_ref().is_none_or(|k| k.contains(&line.kind))
-        };
-        (fits(terms) && fits(&s.under))
+        (terms.fits(line) && s.under.fits(line))
             && (s.of.cells == 0 || s.of.cells & line.cells != 0)
             && s.may_have_run.iter().all(|r| same(&self.engines[r.0].listed))
             && line.standing == Standing::Ready
@@ -791,6 +787,12 @@
         if self.m.bands[s.of.band].holds {
             able.reverse();
         }
+        // Engines that another band must have come last, against a place taken that is its only one.
+        if self.heavy(s.of.band) {
+            let bound = |t: &&Terms| t.zones.is_some() || t.kinds.is_some();
+            let others = self.m.bands.iter().filter(bound).filter(|t| **t != self.m.bands[s.of.band]);
+            able.sort_by_key(|&i| others.clone().any(|t| t.fits(&self.engines[i].listed)));
+        }
         let warm = |&(nth, i): &(usize, usize)| self.cold_room(s, &self.engines[i], nth < HOMES);
         able.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
     }
