A report up to two seconds old still gates bands that need not ask

Engines there report with every answer, one a second and engine; after 400 ms (FRESH) that was forgotten.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -733,8 +733,9 @@
         let fits = fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < self.share);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
-        let told = e.reported(self.now);
-        let enters = told.map_or(!self.asks || !self.heavy(b), |r| self.enters(s, e, r));
+        let asks = self.asks && self.heavy(b);
+        let told = e.report.filter(|r| self.now - r.0 < if asks { FRESH } else { HALF });
+        let enters = told.map_or(!asks, |r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
 
