Of its homes the least own threads a core and reported share together

Of one gateway among many its own threads are a small part of what runs on an engine; what answers report is all of it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -810,7 +810,8 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let load = |i: usize| self.engines[i].threads / self.engines[i].cores;
+        let told = |e: &Engine| e.report.filter(|r| self.now - r.0 < HALF).map_or(0.0, |r| r.1);
+        let load = |i: usize| self.engines[i].threads / self.engines[i].cores + told(&self.engines[i]);
         let (homes, rest) = order.split_at(HOMES.min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
