--- a/src/logic.rs
+++ b/src/logic.rs
@@ -144,6 +144,10 @@
     fn reported(&self, now: Ms) -> Option<(Ms, f64)> {
         self.report.filter(|r| now - r.0 < FRESH)
     }
+    /// Share in use as it told last, fading: a jammed engine answers seldom, and its word must outlast that.
+    fn told(&self, now: Ms) -> f64 {
+        self.report.map_or(0.0, |(at, share)| share * 0.5f64.powf((now - at) / HALF))
+    }
     fn in_use(&self) -> bool {
         self.listed.standing == Standing::Ready && self.aside.is_none()
     }
@@ -221,6 +225,8 @@
     flying: Vec<usize>,
     bands: Vec<Band>,
     orders: RefCell<HashMap<u64, Vec<u32>>>, // by table group, until the roster changes
+    asked: HashMap<u64, Fade>, // work by table group, and all
+    asked_all: Fade,
     keys: BTreeMap<u64, (VecDeque<usize>, Ms)>, // who waits for a key, in order, and until when it rests
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
@@ -344,6 +350,11 @@
         if self.keyed(sub) {
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
+        if self.asked.len() >= ORDERS && !self.asked.contains_key(&of.tables) {
+            self.asked.clear();
+        }
+        self.asked.entry(of.tables).or_default().add(now, LONG_HALF, work, 0.0);
+        self.asked_all.add(now, LONG_HALF, work, 0.0);
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(AT_ONCE);
         if self.m.bands[of.band].closed {
@@ -734,7 +745,7 @@
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let asks = self.asks && self.heavy(b);
-        let told = e.report.filter(|r| self.now - r.0 < if asks { FRESH } else { HALF });
+        let told = if asks { e.reported(self.now) } else { e.report.map(|r| (r.0, e.told(self.now))) };
         let enters = told.map_or(!asks, |r| self.enters(s, e, r));
         self.now > e.full_until && enters && (fits && in_time || stretch <= PRESSED)
     }
@@ -798,6 +809,15 @@
         able.into_iter().enumerate().filter(warm).map(|o| o.1).collect()
     }
 
+    /// Homes of a table group: of all engines twice its share of the work asked for, against few groups that
+    /// fill two engines each and leave the others idle.
+    fn homes(&self, tables: u64) -> usize {
+        let ready = self.engines.iter().filter(|e| e.in_use()).count();
+        let sum = |f: &Fade| f.sum * 0.5f64.powf((self.now - f.at) / LONG_HALF);
+        let share = self.asked.get(&tables).map_or(0.0, sum) / sum(&self.asked_all);
+        ((HOMES * ready) as f64 * share).round().max(HOMES as f64) as usize
+    }
+
     /// By the order hashed from the table group: of its homes the least own threads a core, then the rest.
     fn place(&self, sub: usize) -> Option<usize> {
         let s = &self.subs[sub];
@@ -810,9 +830,10 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let told = |e: &Engine| e.report.filter(|r| self.now - r.0 < HALF).map_or(0.0, |r| r.1);
-        let load = |i: usize| self.engines[i].threads / self.engines[i].cores + told(&self.engines[i]);
-        let (homes, rest) = order.split_at(HOMES.min(order.len()));
+        let load = |i: usize| {
+            self.engines[i].threads / self.engines[i].cores + self.engines[i].told(self.now)
+        };
+        let (homes, rest) = order.split_at(self.homes(s.of.tables).min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
         // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
         let lot = |i: usize| if self.blind { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
