Bad plans by their notes, and lost answers at five times the usual time, begin anew

Answers lost are only missed once the expected time has passed, too late to begin anew in time. At fault: progress, which only learnt paces, and count_the_overdue. Both go again where the band may, the forward may be withdrawn and the budget allows, and what a bad plan took is no pace of its engine. Five times: the figure of overdue forwards before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -430,8 +430,14 @@
         if let Some(f) = s.out.as_mut() {
             let (done, (then, before)) = (share.max(f.counted.1).min(1.0), f.counted);
             f.counted = (now, done);
-            let (engine, b, done) = (f.engine, s.of.band, (done - before) * s.work);
-            self.learn(engine, b, (now - then) * self.m.bands[b].threads, done);
+            let (f, b, part) = (*f, s.of.band, (done - before) * s.work);
+            // Against a bad plan, drawn anew with the next forward: by its notes it would take so long.
+            let (s, whole) = (&self.subs[sub], (now - f.sent) / done.max(NEARLY_NONE));
+            if whole > 2.0 * SLOW * self.service(b, s.of.cells, s.work) && self.may_begin_anew(s) {
+                out.withdraw(sub, s.forwards - 1);
+            } else {
+                self.learn(f.engine, b, (now - then) * self.m.bands[b].threads, part);
+            }
         }
         self.due(now, out);
     }
@@ -484,13 +490,15 @@
             let (b, terms) = (s.of.band, &self.m.bands[s.of.band]);
             let Some(f) = s.out.filter(|f| !f.overdue) else { continue };
             let elapsed = now - f.sent;
-            if elapsed > within(&s.under, s.work) {
-                let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
-                let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.of.cells, s.work);
-                let again = lost && self.m.may_withdraw && self.may_forward_again(s) && self.rationed();
+            let overtaken = self.engines[f.engine].fine[b] > (f.sent + now) / 2.0;
+            let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.of.cells, s.work);
+            let (again, late) = (lost && self.may_begin_anew(s), elapsed > within(&s.under, s.work));
+            if again || late {
                 let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
                 self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
-                self.engines[f.engine].judge(now, false, self.blind);
+                if late {
+                    self.engines[f.engine].judge(now, false, self.blind);
+                }
                 self.learn(f.engine, b, if overtaken { 0.0 } else { spent }, 0.0);
                 again.then(|| out.withdraw(sub, nth));
             }
@@ -646,6 +654,10 @@
             }
     }
 
+    fn may_begin_anew(&self, s: &Taken) -> bool {
+        self.m.may_withdraw && s.open && self.may_forward_again(s) && self.rationed()
+    }
+
     fn in_window(&self, s: &Taken) -> bool {
         let window = s.under.window.min(self.m.bands[s.of.band].window);
         s.may_have_run.iter().all(|r| self.now <= r.1 + window)
