--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -191,6 +191,7 @@
                 other => return Err(format!("family_info.when_short {other} is unknown")),
             },
         },
+        tries_marked: flag(v, "callers.marks_retry")?,
         may_withdraw: flag(v, "policy_limits.may_cancel")?,
         may_probe: flag(v, "policy_limits.probes")?,
         reports: reports.collect(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,6 +95,8 @@
     pub priorities_heeded: bool,
     /// An engine short of memory lets queries wait; elsewhere they run and do more work, or all run slower.
     pub lines_up: bool,
+    /// Clients mark their later tries; elsewhere the time left must tell.
+    pub tries_marked: bool,
     pub may_withdraw: bool,
     pub may_probe: bool,
     /// What the values of an engine's report tell, in their order.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -94,11 +94,13 @@
     /// As many deviations above the middle as asked for.
     fn of(&self, estimate: f64, above: impl Fn(f64) -> f64) -> f64 {
         let ([n, sx, sy, sxx, sxy, syy], x) = (self.sums, estimate.ln());
-        let m = n.max(NEARLY_NONE);
-        let (xx, xy, yy) = (sxx - sx * sx / m, sxy - sx * sy / m, syy - sy * sy / m);
+        if n == 0.0 {
+            return estimate;
+        }
+        let (xx, xy, yy) = (sxx - sx * sx / n, sxy - sx * sy / n, syy - sy * sy / n);
         let slope = (xy + LITTLE) / (xx + LITTLE);
         let spread = ((yy - slope * xy).max(0.0) / (n + 1.0)).sqrt();
-        (x + (sy - sx) / (n + 1.0) + (slope - 1.0) * (x - sx / m) + above(spread)).exp()
+        (x + (sy - sx) / (n + 1.0) + (slope - 1.0) * (x - sx / n) + above(spread)).exp()
     }
 }
 
@@ -154,13 +156,13 @@
     fn failures(&self) -> u32 {
         self.record.count_ones()
     }
-    fn judge(&mut self, now: Ms, well: bool, blind: bool) {
+    fn judge(&mut self, now: Ms, well: bool) {
         self.record = (self.record << 1 | !well as u32) & ((1 << RECORD) - 1);
         self.seen = (self.seen + 1).min(RECORD);
         if let Some((next, gap)) = self.aside {
             let gap = if well { gap / 2.0 } else { (gap * 2.0).min(gap.max(TRICKLE * 2.0)) };
             self.aside = Some((if well { next.min(now + gap) } else { now + gap }, gap));
-            if gap < TRICKLE / 5.0 || well && blind {
+            if gap < TRICKLE / 5.0 {
                 (self.aside, self.record, self.seen) = (None, 0, 0);
             }
         }
@@ -225,7 +227,7 @@
     flying: Vec<usize>,
     bands: Vec<Band>,
     orders: RefCell<HashMap<u64, Vec<u32>>>, // by table group, until the roster changes
-    asked: HashMap<u64, Fade>, // work by table group, and all
+    asked: HashMap<u64, Fade>,               // work by table group, and all
     asked_all: Fade,
     keys: BTreeMap<u64, (VecDeque<usize>, Ms)>, // who waits for a key, in order, and until when it rests
     taken_at: VecDeque<Ms>,
@@ -233,9 +235,9 @@
     probes: f64,
     held: Fade, // threads of a query that an engine holds
     /// Crowded, the even share of an engine being less than a wide query: engines are asked, or tell nothing.
+    crowded: bool,
     asks: bool,
     share: f64,
-    blind: bool,
     wake_at: Ms,
     subscribe_at: Option<Ms>,
 }
@@ -265,7 +267,7 @@
         m.may_probe &= m.reports.iter().any(|r| *r != Load::Other);
         let widest = m.bands.iter().map(|b| b.threads).fold(0.0, f64::max);
         let crowded = m.kinds.iter().all(|k| k.cores * FACTOR / m.gateways < widest);
-        (self.asks, self.blind) = (crowded && m.may_probe, crowded && !m.may_probe);
+        (self.crowded, self.asks) = (crowded, crowded && m.may_probe);
         self.m = m;
     }
 
@@ -338,7 +340,8 @@
             usual if of.left > usual => 0.1 * (of.left - usual),
             _ => -0.01 * time,
         };
-        let lacks = if of.later_try || of.left > time { (*usual - of.left).max(0.0) } else { 0.0 };
+        let spent = of.later_try || !self.m.tries_marked && of.left > time;
+        let lacks = if spent { (*usual - of.left).max(0.0) } else { 0.0 };
         let (aim, limit) = (now + time - lacks, now + of.left);
         band.line.push(sub);
         if self.subs.len() <= sub {
@@ -399,7 +402,7 @@
             band.memory_of.add(now, s.of.memory_mb, cost.memory_mb);
             s.work = cost.work.max(1.0);
         }
-        let (work, open, in_time, blind) = (s.work, s.open, now <= s.aim, self.blind);
+        let (work, open, in_time) = (s.work, s.open, now <= s.aim);
         let cells = s.of.cells;
         let usual = self.service(b, cells, work);
         let e = &mut self.engines[fwd.engine];
@@ -408,13 +411,13 @@
             Outcome::Settled(_) => {
                 if !fwd.overdue {
                     e.fine[b] = e.fine[b].max(fwd.sent);
-                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none() && !blind, blind);
+                    e.judge(now, elapsed < SLOW * usual || in_time && e.aside.is_none());
                 }
                 self.learn(fwd.engine, b, (now - fwd.counted.0) * threads, work * (1.0 - fwd.counted.1));
             }
             // Among hundreds of gateways, one that rests for less than it meets the engine does not rest.
             Outcome::Full => self.engines[fwd.engine].full_until = now + self.seldom(),
-            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false, blind),
+            Outcome::Error | Outcome::NoConnection | Outcome::Reset => e.judge(now, false),
             _ => {}
         }
         match closed || !open {
@@ -497,7 +500,7 @@
                 let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
                 self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
                 if late {
-                    self.engines[f.engine].judge(now, false, self.blind);
+                    self.engines[f.engine].judge(now, false);
                 }
                 self.learn(f.engine, b, if overtaken { 0.0 } else { spent }, 0.0);
                 again.then(|| out.withdraw(sub, nth));
@@ -509,8 +512,7 @@
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        let least = if self.blind { 1 } else { BAD };
-        if !self.engines.iter().any(|e| e.failures() >= least) {
+        if !self.engines.iter().any(|e| e.failures() >= BAD) {
             return false;
         }
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
@@ -520,14 +522,13 @@
         let worse = |e: &Engine| {
             (aside + 1) * 2 <= n
                 && e.in_use()
-                && e.failures() >= least
+                && e.failures() >= BAD
                 && share(e.failures(), e.seen) > 2.0 * share(bad - e.failures(), seen - e.seen)
         };
         let found = (0..self.engines.len()).filter(|&i| worse(&self.engines[i]));
         let Some(i) = found.max_by_key(|&i| self.engines[i].failures()) else { return false };
-        let gap = if self.blind { self.seldom() } else { TRICKLE };
         let e = &mut self.engines[i];
-        e.aside = Some((self.now + gap, gap));
+        e.aside = Some((self.now + TRICKLE, TRICKLE));
         out.note(&format!("engine {:012x} set aside: {} of {} failed", e.listed.id, e.failures(), e.seen));
         true
     }
@@ -753,7 +754,8 @@
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
-        let fits = fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < self.share);
+        let fits =
+            fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < self.share);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let asks = self.asks && self.heavy(b);
@@ -780,7 +782,7 @@
     fn cold_room(&self, s: &Taken, e: &Engine, home: bool) -> bool {
         let Some((all, share, recent)) = self.cold(e) else { return true };
         let fits = recent + self.usual_work(s.of.band) <= share;
-        fits || home && (self.asks || self.blind) && s.chance(e.listed.id) < all / 6.0
+        fits || home && self.crowded && s.chance(e.listed.id) < all / 6.0
     }
 
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
@@ -842,14 +844,11 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let load = |i: usize| {
-            self.engines[i].threads / self.engines[i].cores + self.engines[i].told(self.now)
-        };
+        let load =
+            |i: usize| self.engines[i].threads / self.engines[i].cores + self.engines[i].told(self.now);
         let (homes, rest) = order.split_at(self.homes(s.of.tables).min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
-        // Against hundreds of gateways with nothing running that all take the first home: ties by lot.
-        let lot = |i: usize| if self.blind { mix(s.lot ^ self.engines[i].listed.id) } else { 0 };
-        home.min_by(|&x, &y| load(x).total_cmp(&load(y)).then(lot(x).cmp(&lot(y))))
+        home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,6 +82,7 @@
         most_grant: 0.5,
         priorities_heeded: true,
         lines_up: true,
+        tries_marked: true,
         most_forwards: 4,
         cold_from: 0.3,
         warm_after: 10_000.0,
