Other settings are taken over in a running gateway by SIGHUP, and back by the same step

A replaced file was read for its list alone. Now crates/change/src/renewal.rs says without I/O what becomes of the settings that run: whatever had an index keeps it (bands by name, threads, order and repeats; zones and kinds by name), bands not named are closed and opened again when a file brings them back; the amendment goes the way of management's, before the list that may rest on it. All or none: a bad file leaves settings and list. Where management is on, it alone changes settings, and a line in the log says so.

Checked now, in a sentence that names the field, at start too: threads_by_class, size_cores, ram_of_kind_mb, class_load, when_short, places past the lists. Absent: as before.

tests/switch.rs: 1,800 calls from three clients while the file goes forth and back eight times, words doubled: each one final answer, none twice out, none lost, none scrapped.

--- a/crates/change/src/lib.rs
+++ b/crates/change/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod journal;
 pub mod plan;
+pub mod renewal;
 pub mod revisions;
 
 pub use document::{
--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -38,7 +38,7 @@
 }
 
 impl Slot {
-    fn of(b: &Band) -> Slot {
+    pub(crate) fn of(b: &Band) -> Slot {
         Slot {
             name: b.name.clone(),
             repeat: b.repeat,
@@ -202,9 +202,9 @@
     }
 
     fn terms(&self, slot: &Slot, to: &Document) -> Terms {
-        let told = self.document.band.iter().position(|b| b.name == slot.name);
+        let told = self.document.band.iter().position(|b| Slot::of(b) == *slot);
         let told = told.map(|i| (&self.mandate.bands[i], &self.document.band[i]));
-        let Some(band) = to.band.iter().find(|b| b.name == slot.name) else {
+        let Some(band) = to.band.iter().find(|b| Slot::of(b) == *slot) else {
             // Out of service. What it was matters no more to new ones; open ones go by their own terms.
             let was = told.map(|t| t.0.clone()).unwrap_or_default();
             return Terms {
@@ -235,11 +235,10 @@
             zones: indices(&band.zone, &self.frame.zones),
             kinds: indices(&band.kind, &self.frame.kinds),
             holds: false,
-            waits: false,
             closed: false,
         };
         if let Some((told, was)) = told {
-            (terms.holds, terms.waits) = (told.holds, told.waits);
+            terms.holds = told.holds;
             let keep = |same: bool, new: &mut f64, old: f64| {
                 if same {
                     *new = old;
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -263,7 +263,12 @@
             self.plain(|m| rpc::fit(m, call, !self.place.of.begun()));
             return Ok(None);
         }
-        let band = self.shared.bands().iter().position(|b| b.name.as_bytes() == method);
+        let bands = self.shared.bands();
+        let named = |service: bool| {
+            bands.iter().position(|b| b.name.as_bytes() == method && (b.in_service || !service))
+        };
+        // One of the name may be closed behind which another is open, under other terms.
+        let band = named(true).or_else(|| named(false));
         let band = band.ok_or((Some(call), rpc::UNKNOWN_METHOD))?;
         if self.open.borrow().contains_key(&call) {
             // Which of the two an answer is for could not be told: neither gets one.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -146,7 +146,7 @@
     fn link(&mut self) -> u64 {
         // Against a machine cut off, whose connections stay open and silent, maybe for good: a new one tells.
         let silent: Vec<u64> = self.flights.values().filter(|f| self.unheard(f)).map(|f| f.link).collect();
-        let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage.streams);
+        let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage().streams);
         let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), l.1.open, !l.1.up);
         let most = (self.shared.links_most / self.shared.listed.get().max(1)).clamp(2, LINKS_MOST);
         let free = |l: &(&u64, &Link)| !rank(l).0 && l.1.open == 0 || self.links.len() >= most;
@@ -156,7 +156,7 @@
         self.opened += 1;
         let (parcels, out) = async_channel::unbounded();
         let s = &self.shared;
-        let within = s.carriage.connect_within;
+        let within = s.carriage().connect_within;
         let task = carry(self.opened, self.address, within, s.pool.clone(), out, self.own.clone());
         let link = Link {
             up: false,
@@ -266,7 +266,7 @@
     /// By the names told at start; where the engine has others, in the order that it tells them.
     fn report(&mut self, fields: Fields) {
         let named = |n: &String| fields.load().find(|l| l.0 == n.as_bytes()).map(|l| l.1);
-        let values: Option<Vec<f64>> = self.shared.carriage.reports.iter().map(named).collect();
+        let values: Option<Vec<f64>> = self.shared.carriage().reports.iter().map(named).collect();
         let values = values.unwrap_or_else(|| fields.load().map(|l| l.1).collect());
         if !values.is_empty() {
             self.events.push(Event::Report { engine: self.index, values });
@@ -364,13 +364,13 @@
     }
 
     fn idle_until(&self, l: &Link) -> Option<Ms> {
-        let rest = if l.silent { 0.0 } else { self.shared.carriage.idle * IDLE_SHARE };
+        let rest = if l.silent { 0.0 } else { self.shared.carriage().idle * IDLE_SHARE };
         (l.up && l.open == 0).then_some(l.idle_since + rest)
     }
 
     /// An answer is written at once: half of one for longer than a connection takes to come up is all of it.
     fn part_until(&self, l: &Link) -> Option<Ms> {
-        l.part_since.map(|since| since + self.shared.carriage.connect_within)
+        l.part_since.map(|since| since + self.shared.carriage().connect_within)
     }
 
     fn due(&self) -> Option<Ms> {
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -29,6 +29,8 @@
     pub names: SocketAddr,
     pub known: BTreeMap<String, Place>,
     pub rev: u32,
+    /// The names of zones and kinds, in the order that the decisions know.
+    pub index: Index,
 }
 
 pub struct List {
@@ -56,6 +58,7 @@
             if let Some(moved) = or(moved, asked).await {
                 info!(self.log, "name service has moved"; "to" => moved.names);
                 self.names = moved.names;
+                self.index = moved.index;
                 self.heard(moved.rev, moved.known).await;
             }
         }
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -280,8 +280,11 @@
 fn amend(gateway: &mut Gateway, hands: &mut Hands, to: Amendment) {
     hands.shared.bands.replace(Rc::new(to.bands));
     hands.shared.longest.set(to.longest);
-    if hands.cells.is_some() || to.cells.is_some() {
-        let was = std::mem::replace(&mut hands.cells, to.cells);
+    if let Some(carriage) = to.carriage {
+        hands.shared.carriage.replace(Rc::new(carriage));
+    }
+    if let Some(cells) = to.cells.filter(|cells| hands.cells.is_some() || cells.is_some()) {
+        let was = std::mem::replace(&mut hands.cells, cells);
         if let (Some(is), Some(was)) = (&mut hands.cells, &was) {
             let out = hands.held.iter().flatten().filter(|h| h.engine.is_some());
             is.succeeds(hands.now, was, out.map(|h| (h.tenant, Cells(h.cells))));
@@ -392,7 +395,7 @@
         let _ = t.client.try_send(Reply::Unusable(t.call));
         return;
     }
-    if hands.open >= hands.shared.carriage.most_open {
+    if hands.open >= hands.shared.carriage().most_open {
         // The bound on open submissions that the settings name: at the door, before it is the module's.
         let _ = t.client.try_send(Reply::TurnedBack(t.call, 0.0));
         return;
@@ -480,6 +483,7 @@
     use ironstair_mail::pool::Pool;
     use ironstair_mandate::Carriage;
     use slog::{o, Discard, Logger};
+    use std::cell::RefCell;
 
     #[test]
     fn an_event_that_overtakes_a_wake_up_does_not_leave_the_next_one_out() {
@@ -494,7 +498,14 @@
             longest: Cell::new(5000.0),
             gauges: Default::default(),
             tenants: false,
-            carriage: Carriage { connect_within, idle, streams, most_open, longest, reports },
+            carriage: RefCell::new(Rc::new(Carriage {
+                connect_within,
+                idle,
+                streams,
+                most_open,
+                longest,
+                reports,
+            })),
             links_most: 8,
             listed: Cell::new(0),
             log: Logger::root(Discard, o!()),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,7 +4,7 @@
 use crate::module::{decide, Shown};
 use crate::operator::{self, Operator};
 use crate::places::Places;
-use crate::told::{self, Told};
+use crate::told::{self, Index, Told};
 use crate::{client, log, management};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -13,9 +13,12 @@
 use futures_lite::future::{or, yield_now};
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
+use ironstair_change::renewal::Renewal;
 use ironstair_mail::clock::{span, Clock};
 use ironstair_mail::pool::Pool;
-use ironstair_mail::{window, Event, Gauges, Shared};
+use ironstair_mail::window::{self, Amendment, Request};
+use ironstair_mail::{Event, Gauges, Shared};
+use ironstair_mandate::Carriage;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
@@ -45,6 +48,7 @@
     told: PathBuf,
     moves: Sender<Moved>,
     renew: Option<management::Renew>,
+    mut renewal: Renewal,
     places: Rc<Places>,
     shared: Rc<Shared>,
 ) {
@@ -56,14 +60,29 @@
                 if let Some(r) = &renew {
                     let _ = r.try_send(());
                 }
-                match told::read(&told) {
-                    Ok(Told { names, known, rev, .. }) => {
-                        let _ = moves.send(Moved { names, known, rev }).await;
-                    }
+                // All of it or none: settings that can't be leave the list where it is, too.
+                let read = told::read(&told).and_then(|t| Ok((renewal.renew(t.file())?, t)));
+                let (new, mut told) = match read {
+                    Ok(read) => read,
                     Err(e) => {
-                        warn!(log, "the new configuration can't be used, the old one stays"; "why" => e)
+                        warn!(log, "the new configuration can't be used, the old one stays"; "why" => e);
+                        continue;
+                    }
+                };
+                match new {
+                    Some(_) if renew.is_some() => {
+                        warn!(log, "settings come by management, those of the file are not taken over")
                     }
+                    Some(new) => {
+                        renewal = new;
+                        take_over(&renewal, told.carriage.clone(), &shared).await;
+                    }
+                    None => {}
                 }
+                let frame = renewal.frame();
+                told.under(&Index { zones: frame.zones.clone(), kinds: frame.kinds.clone() });
+                let Told { names, known, rev, index, .. } = told;
+                let _ = moves.send(Moved { names, known, rev, index }).await;
             }
             _ if places.begun() => info!(log, "told to end once more"),
             _ => {
@@ -75,8 +94,28 @@
     }
 }
 
+/// Other settings, through the module's mailbox: before the list that may rest on them, which comes after.
+async fn take_over(renewal: &Renewal, carriage: Carriage, shared: &Shared) {
+    let mandate = renewal.mandate();
+    let bands = renewal.names().zip(&mandate.bands);
+    let bands = bands.map(|(name, b)| window::Told {
+        name: name.into(),
+        expected: b.expected,
+        in_service: !b.closed,
+    });
+    let (bands, longest) = (bands.collect(), renewal.longest());
+    let (done, told) = async_channel::bounded(1);
+    let to = Amendment { mandate, bands, longest, cells: None, carriage: Some(carriage), done };
+    let _ = shared.module.send(Event::Asked(Request::Amend(Box::new(to)))).await;
+    if told.recv().await.is_ok() {
+        let open = shared.bands().iter().filter(|b| b.in_service).count();
+        info!(shared.log, "new settings hold"; "bands" => open);
+    }
+}
+
 pub fn serve(path: &Path, operator: Option<Operator>, form: log::Form) -> Result<(), String> {
     let told = told::read(path)?;
+    let file = told.file();
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
     let cells = operator.as_ref().and_then(|o| o.cells.as_ref());
     let management = management.map(|m| management::open(m, &told, cells)).transpose()?;
@@ -98,6 +137,7 @@
         }
     };
     let gateway = Gateway::new(mandate, told.seed);
+    let renewal = Renewal::new(file);
     let shared = Rc::new(Shared {
         clock: Clock::start(),
         // A third: what else there is grows with it, statements joined and answers being written.
@@ -108,7 +148,7 @@
         longest: Cell::new(longest),
         gauges: Gauges::default(),
         tenants: operator.as_ref().and_then(|o| o.cells.as_ref()).is_some_and(|c| c.named_by_clients),
-        carriage: told.carriage,
+        carriage: RefCell::new(Rc::new(told.carriage)),
         log: log.clone(),
         module: module.clone(),
         executor: executor.clone(),
@@ -139,7 +179,7 @@
         shared.gauges.serial.set(told.rev);
         shared.gauges.connections_most.set((told.descriptors / 2) as u32);
         let places = Places::new(told.descriptors / 2, shared.gauges.connections.clone());
-        let heeded = heed(signals, path.into(), moves, renew, places.clone(), shared.clone());
+        let heeded = heed(signals, path.into(), moves, renew, renewal, places.clone(), shared.clone());
         executor.spawn(heeded).detach();
         info!(log, "serving"; "on" => told.listen);
 
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -1,6 +1,8 @@
 //! What a gateway is told at start, decoded once.
 
 use ironstair::{Mandate, Ms, Standing};
+use ironstair_change::renewal::File;
+use ironstair_change::Frame;
 use ironstair_mail::Place;
 use ironstair_mandate::{bands, carriage, kinds, limits, mandate, word, zones, Carriage};
 use serde_json::Value;
@@ -13,13 +15,17 @@
 const DESCRIPTORS: f64 = 1024.0;
 
 /// The names under which zones and kinds of machine come; the decisions know them by index.
+#[derive(Clone)]
 pub struct Index {
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
 }
 
 impl Index {
-    /// A name that was not told at start gets a number that no rule allows.
+    pub fn frame(&self) -> Frame {
+        Frame { zones: self.zones.clone(), kinds: self.kinds.clone() }
+    }
+    /// A name that was not told gets a number that no rule allows.
     fn of(names: &[String], name: &str) -> u16 {
         names.iter().position(|n| n.eq_ignore_ascii_case(name)).unwrap_or(u16::MAX as usize) as u16
     }
@@ -50,6 +56,23 @@
     pub rev: u32,
 }
 
+impl Told {
+    pub fn file(&self) -> File {
+        let (mandate, names) = (self.mandate.clone(), self.bands.clone());
+        File { mandate, names, limits: self.limits.clone(), frame: self.index.frame() }
+    }
+
+    /// The roster with its zones and kinds under other indices.
+    pub fn under(&mut self, index: &Index) {
+        let named = |names: &[String], i: u16| names.get(i as usize).cloned().unwrap_or_default();
+        for place in self.known.values_mut() {
+            place.zone = index.zone(&named(&self.index.zones, place.zone));
+            place.kind = index.kind(&named(&self.index.kinds, place.kind));
+        }
+        self.index = index.clone();
+    }
+}
+
 pub fn read(path: &Path) -> Result<Told, String> {
     let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
     decode(&text).map_err(|e| format!("{}: {e}", path.display()))
--- /dev/null
+++ b/crates/gateway/tests/switch.rs
@@ -0,0 +1,181 @@
+//! Other settings in a running gateway, there and back, between stand-ins on loopback.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// Bands that come and go, one of the same name under other threads and stricter repeats, zones and kinds in
+/// another order, figures that the decisions did not read before.
+fn other(settings: &Value) -> Value {
+    let mut s = settings.clone();
+    let class = |name: &str, semantics: &str| {
+        json!({"name": name, "slo_ns": 1.2e9, "give_up_ns": 4e9, "semantics": semantics, "worth": 2.0,
+            "machine_types_allowed": [1], "late_worth": 0.6})
+    };
+    s["classes"] =
+        json!([class("load", "side_effect"), class("report", "side_effect"), class("lookup", "pure")]);
+    s["classes"][0]["by_arrival"] = json!(true);
+    s["dcs"] = json!(["b", "a"]);
+    s["machine_types"] = json!(["new", "m"]);
+    s["family_info"] = json!({"size_cores": [4, 16], "ram_of_kind_mb": [1024.0, 32768.0],
+        "threads_by_class": [2, 2, 1], "class_load": [true, false, false], "when_short": "cut",
+        "takes_grants": true, "lanes_count": false});
+    s["guarantees"]["settle_after_doubt_ns"] = json!(300e6);
+    s["report"]["fields"] = json!(["depth", "concurrent"]);
+    s["policy_limits"]["max_attempts"] = json!(4);
+    s["policy_limits"]["may_cancel"] = json!(false);
+    s["callers"] = json!({"marks_retry": false});
+    s
+}
+
+fn put(g: &Gateway, told: &Value, settings: &Value) {
+    let mut v = told.clone();
+    v["settings"] = settings.clone();
+    std::fs::write(g.dir.join("told.json"), v.to_string()).unwrap();
+    g.signal("-HUP");
+}
+
+/// Calls by id: how many final answers of each kind.
+type Answers = Arc<Mutex<BTreeMap<u64, Vec<&'static str>>>>;
+
+fn hear(c: &mut Client, answers: &Answers) {
+    let a = c.hear();
+    let kind = match (&a["result"], a["error"]["code"].as_i64()) {
+        (Value::Object(_), _) => "settled",
+        (_, Some(-32014)) => "turned back",
+        (_, Some(_)) => "scrapped",
+        _ => panic!("{a}"),
+    };
+    answers.lock().unwrap().entry(a["id"].as_u64().unwrap()).or_default().push(kind);
+}
+
+#[test]
+fn settings_change_under_load_and_back_with_nothing_lost_or_sent_twice() {
+    // Against submissions that lose their band, place or answer with an index, and once-only ones that go again.
+    let act = |line: &str, _: &str| {
+        thread::sleep(Duration::from_millis(4));
+        (if line.starts_with("fetch") { done(line, "x\ty\tz\n") } else { vec![] }, false)
+    };
+    let ((a, seen_a), (b, seen_b)) = (engine(act), engine(act));
+    let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let (told, roster) = told(2, json!([class("lookup"), class("report")]), &[("e1", a), ("e2", b)]);
+    let (first, second) = (told["settings"].clone(), other(&told["settings"]));
+    let g = started("switch", told.clone(), roster, None);
+    // A band that was never told is a client's fault, of which a connection bears few: it is told once.
+    let mut c = Client::of(&g);
+    put(&g, &told, &second);
+    thread::sleep(Duration::from_millis(300));
+    c.ask_in("load", 1 << 40);
+    assert_eq!(c.rows().0, 1 << 40);
+    put(&g, &told, &first);
+    let answers = Answers::default();
+    let bands = ["lookup", "report", "load"];
+    let load: Vec<_> = (0..3u64)
+        .map(|n| {
+            let (mut c, answers) = (Client::of(&g), answers.clone());
+            thread::spawn(move || {
+                for turn in 0..100u64 {
+                    let calls: Vec<u64> = (0..6).map(|i| 1 + n * 100_000 + turn * 6 + i).collect();
+                    calls.iter().for_each(|&call| c.ask_in(bands[(call % 3) as usize], call));
+                    calls.iter().for_each(|_| hear(&mut c, &answers));
+                }
+            })
+        })
+        .collect();
+    for turn in 0..8 {
+        thread::sleep(Duration::from_millis(150));
+        put(&g, &told, if turn % 2 == 0 { &second } else { &first });
+        if turn % 3 == 0 {
+            // Two in a row, the second with the same file.
+            g.signal("-HUP");
+        }
+    }
+    load.into_iter().for_each(|l| l.join().unwrap());
+    let answers = answers.lock().unwrap();
+    assert_eq!(answers.len(), 1800, "each call is answered");
+    assert!(answers.values().all(|a| a.len() == 1), "once");
+    let count = |kind: &str| answers.values().filter(|a| a[0] == kind).count();
+    assert_eq!(count("scrapped"), 0);
+    assert!(count("settled") > 1200, "{} settled", count("settled"));
+    assert!(count("turned back") > 0, "load is out of service half of the time");
+    let mut sent = BTreeMap::new();
+    for seen in [seen_a, seen_b] {
+        let seen = seen.lock().unwrap();
+        seen.iter()
+            .filter(|l| l.starts_with("fetch"))
+            .for_each(|l| *sent.entry(id(l).to_string()).or_insert(0) += 1);
+    }
+    assert_eq!(sent.len(), count("settled") + 1, "what was settled was sent, and nothing else");
+    assert!(sent.values().all(|&n| n == 1), "none twice");
+}
+
+#[test]
+fn a_bad_file_leaves_the_old_settings_whole_and_says_which_field() {
+    let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let (told, _roster) = told(2, json!([class("lookup"), class("report")]), &[("e1", at)]);
+    let dir = std::env::temp_dir().join(format!("ironstair-bad-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    std::fs::write(dir.join("told.json"), told.to_string()).unwrap();
+    let mut serve = Command::new(env!("CARGO_BIN_EXE_ironstair"));
+    serve
+        .arg("serve")
+        .env("ROUTER_CONFIG", dir.join("told.json"))
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let mut process = serve.spawn().unwrap();
+    let lines = Seen::default();
+    let out: [Box<dyn std::io::Read + Send>; 2] =
+        [Box::new(process.stdout.take().unwrap()), Box::new(process.stderr.take().unwrap())];
+    for out in out {
+        let lines = lines.clone();
+        thread::spawn(move || {
+            BufReader::new(out).lines().map_while(Result::ok).for_each(|l| lines.lock().unwrap().push(l))
+        });
+    }
+    let g = Gateway { process, at: told["listen"].as_str().unwrap().parse().unwrap(), roster: _roster, dir };
+    let mut c = Client::of(&g);
+    let said = |what: &str| soon(|| lines.lock().unwrap().iter().any(|l| l.contains(what)));
+    let good = other(&told["settings"]);
+    let spoil = |path: &str, to: Value| {
+        let mut s = good.clone();
+        *s.pointer_mut(path).unwrap() = to;
+        s
+    };
+    let no_rest = spoil("/guarantees/settle_after_doubt_ns", Value::Null);
+    for (settings, field) in [
+        (spoil("/classes/0/semantics", json!("sometimes")), "classes[0]: semantics sometimes is unknown"),
+        (spoil("/classes/1/machine_types_allowed", json!([5])), "classes[1]: machine_types_allowed names 5"),
+        (spoil("/classes/2/worth", json!("much")), "classes[2]: worth is not a number"),
+        (spoil("/family_info/threads_by_class", json!([1, "x", 1])), "family_info.threads_by_class[1]"),
+        (spoil("/family_info/size_cores", json!([0, 4])), "family_info.size_cores[0]"),
+        (spoil("/family_info/class_load", json!([true])), "family_info.class_load[1]"),
+        (spoil("/family_info/when_short", json!("beg")), "family_info.when_short beg is unknown"),
+        (no_rest, "guarantees.settle_after_doubt_ns is missing"),
+    ] {
+        put(&g, &told, &settings);
+        assert!(said(field), "{field}: {:?}", lines.lock().unwrap());
+        c.ask_in("report", 1);
+        assert_eq!(c.rows().0, 1, "{field}");
+    }
+    assert!(!lines.lock().unwrap().iter().any(|l| l.contains("new settings hold")));
+    put(&g, &told, &good);
+    assert!(said("new settings hold"));
+    c.ask_in("load", 2);
+    assert_eq!(c.rows().0, 2);
+    put(&g, &told, &told["settings"]);
+    assert!(soon(|| lines.lock().unwrap().iter().filter(|l| l.contains("new settings hold")).count() == 2));
+    c.ask_in("load", 3);
+    assert_eq!(c.hear()["error"]["code"], -32014, "out of service again");
+    put(&g, &told, &told["settings"]);
+    c.ask_in("lookup", 4);
+    assert_eq!(c.rows().0, 4);
+    assert_eq!(lines.lock().unwrap().iter().filter(|l| l.contains("new settings hold")).count(), 2);
+}
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -112,7 +112,8 @@
     pub bands: RefCell<Rc<Vec<Told>>>,
     /// The longest hard limit.
     pub longest: Cell<Ms>,
-    pub carriage: Carriage,
+    /// Replaced whole when a file brings other figures.
+    pub carriage: RefCell<Rc<Carriage>>,
     /// Whether clients may name their tenant.
     pub tenants: bool,
     /// Connections to all engines, and how many engines there are.
@@ -141,6 +142,10 @@
         self.bands.borrow().clone()
     }
 
+    pub fn carriage(&self) -> Rc<Carriage> {
+        self.carriage.borrow().clone()
+    }
+
     /// More work than any client or engine means to tell.
     pub fn work_most(&self) -> Ms {
         WORK_MOST * self.longest.get()
--- a/crates/mail/src/window.rs
+++ b/crates/mail/src/window.rs
@@ -5,6 +5,7 @@
 use async_channel::Sender;
 use ironstair::{Mandate, Ms};
 use ironstair_cells::Keeper;
+use ironstair_mandate::Carriage;
 use ironstair_tree::state::Snapshot;
 use std::sync::Arc;
 
@@ -22,7 +23,10 @@
     pub bands: Vec<Told>,
     /// The longest hard limit.
     pub longest: Ms,
-    pub cells: Option<Keeper>,
+    /// None leaves them as they are.
+    pub cells: Option<Option<Keeper>>,
+    /// Other figures of the carrying, where a file brings some.
+    pub carriage: Option<Carriage>,
     /// Told once it is done.
     pub done: Sender<()>,
 }
--- a/crates/manage/src/desk.rs
+++ b/crates/manage/src/desk.rs
@@ -360,7 +360,8 @@
         let mandate = self.origin.mandate(&document, &self.roll);
         let (bands, longest) = bands(&self.roll, &document, &mandate);
         let (done, told) = async_channel::bounded(1);
-        let amendment = Amendment { mandate, bands, longest, cells: keeper(&document), done };
+        let cells = Some(keeper(&document));
+        let amendment = Amendment { mandate, bands, longest, cells, carriage: None, done };
         if self.requests.send(Request::Amend(Box::new(amendment))).await.is_ok()
             && timeout(span(AMEND_WITHIN), told.recv()).await.is_err()
         {
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -45,7 +45,7 @@
     all.collect::<Option<_>>().map(Some).ok_or_else(|| format!("{path} holds what is no index"))
 }
 
-fn terms(c: &Value, threads: Option<&Value>, holds: bool, waits: bool) -> Result<Terms, String> {
+fn terms(c: &Value, threads: f64, holds: bool) -> Result<Terms, String> {
     let within = match at(c, "group").and_then(Value::as_str) {
         None | Some("all") => Within::All,
         Some("zone") => Within::Zone,
@@ -66,18 +66,28 @@
         expected: time(c, "slo_ns")?,
         expected_stretch: number_or(c, "aim_stretch", 0.0)?,
         payoff: number(c, "worth")?,
-        threads: threads.and_then(Value::as_f64).filter(|t| *t >= 1.0).unwrap_or(1.0),
+        threads,
         repeat,
         window,
         in_order: flag(c, "by_arrival")?,
         holds,
-        waits,
         zones: numbers(c, "dcs_allowed")?,
         kinds: numbers(c, "machine_types_allowed")?,
         closed: false,
     })
 }
 
+/// One figure of a list, of 1 or more; where there is no list, or it ends before, what stands for it.
+fn one_of(v: &Value, path: &str, i: usize, absent: f64) -> Result<f64, String> {
+    match at(v, path).map(|_| list(v, path)).transpose()?.and_then(|l| l.get(i)) {
+        None => Ok(absent),
+        Some(x) => x
+            .as_f64()
+            .filter(|x| x.is_finite() && *x >= 1.0)
+            .ok_or_else(|| format!("{path}[{i}] is no number of 1 or more")),
+    }
+}
+
 /// What `family_info` says of one band; no where it says nothing.
 fn by_band(v: &Value, key: &str, band: usize) -> Result<bool, String> {
     let path = format!("family_info.{key}");
@@ -144,20 +154,30 @@
 }
 
 pub fn mandate(v: &Value) -> Result<Mandate, String> {
-    let threads = at(v, "family_info.threads_by_class").and_then(Value::as_array);
     let bands = list(v, "classes")?.iter().enumerate();
     let bands = bands
         .map(|(i, c)| {
-            let [holds, waits] = ["class_load", "blocked_by_loads"].map(|key| by_band(v, key, i));
-            let threads = threads.and_then(|t| t.get(i));
-            terms(c, threads, holds?, waits?).map_err(|e| format!("classes[{i}]: {e}"))
+            let holds = by_band(v, "class_load", i);
+            let threads = one_of(v, "family_info.threads_by_class", i, 1.0)?;
+            let terms = terms(c, threads, holds?).map_err(|e| format!("classes[{i}]: {e}"))?;
+            for (field, told, names) in [
+                ("dcs_allowed", &terms.zones, "dcs"),
+                ("machine_types_allowed", &terms.kinds, "machine_types"),
+            ] {
+                let known = at(v, names).and_then(Value::as_array).map_or(0, Vec::len);
+                if let Some(past) = told.iter().flatten().find(|x| **x as usize >= known) {
+                    return Err(format!("classes[{i}]: {field} names {past}, and {names} has {known}"));
+                }
+            }
+            Ok(terms)
         })
-        .collect::<Result<Vec<_>, _>>()?;
-    let value = |list: &str, i: usize| at(v, list)?.get(i)?.as_f64();
+        .collect::<Result<Vec<_>, String>>()?;
     let kinds = at(v, "machine_types").and_then(Value::as_array).map_or(0, Vec::len);
-    let kinds = (0..kinds).map(|i| Kind {
-        cores: value("family_info.size_cores", i).filter(|c| *c > 0.0).unwrap_or(1.0),
-        memory_mb: value("family_info.ram_of_kind_mb", i).unwrap_or(0.0),
+    let kinds = (0..kinds).map(|i| {
+        Ok(Kind {
+            cores: one_of(v, "family_info.size_cores", i, 1.0)?,
+            memory_mb: one_of(v, "family_info.ram_of_kind_mb", i, 0.0)?,
+        })
     });
     let ration = match at(v, "guarantees.budget_span_ns") {
         None => None,
@@ -179,7 +199,7 @@
     Ok(Mandate {
         gateways: number(v, "fleet_size")?.max(1.0),
         bands,
-        kinds: kinds.collect(),
+        kinds: kinds.collect::<Result<_, String>>()?,
         most_grant: number_or(v, "family_info.largest_share", 1.0)?,
         grants_heeded: flag(v, "family_info.takes_grants")?,
         priorities_heeded: flag(v, "family_info.lanes_count")?,
@@ -191,7 +211,7 @@
                 other => return Err(format!("family_info.when_short {other} is unknown")),
             },
         },
-        tries_marked: flag(v, "callers.marks_retry")?,
+        tries_marked: at(v, "callers.marks_retry").is_none() || flag(v, "callers.marks_retry")?,
         may_withdraw: flag(v, "policy_limits.may_cancel")?,
         may_probe: flag(v, "policy_limits.probes")?,
         reports: reports.collect(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,8 +54,6 @@
     pub in_order: bool,
     /// Holds its table group on its engine while it runs.
     pub holds: bool,
-    /// Stands still while another holds its table group there.
-    pub waits: bool,
     pub zones: Option<Vec<u16>>,
     pub kinds: Option<Vec<u16>>,
     /// Taken out of service: new ones are turned back, those taken before go on.
@@ -70,7 +68,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Kind {
     pub cores: f64,
     pub memory_mb: f64,
@@ -85,7 +83,7 @@
 }
 
 /// What a gateway is told at start and holds to until it is amended.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Mandate {
     pub gateways: f64,
     pub bands: Vec<Terms>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -278,6 +278,7 @@
         let before = self.bands.len();
         self.adopt(m);
         for e in &mut self.engines {
+            e.cores = self.m.kinds.get(e.listed.kind as usize).map_or(1.0, |k| k.cores);
             e.pace.resize(self.bands.len(), Fade::default());
             e.fine.resize(self.bands.len(), 0.0);
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -67,7 +67,6 @@
         window: 1000.0,
         in_order: false,
         holds: false,
-        waits: false,
         zones: None,
         kinds: None,
         closed: false,
