--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod door;
 pub mod logic;
+pub mod sums;
 
 /// Milliseconds, with fractions; as a point in time, on the host's monotonic clock.
 pub type Ms = f64;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! until none does. Actions leave through [`Outlet`] at once. lib.rs has that and the types that cross;
 //! door.rs makes the indices used here.
 
+use crate::sums::{mix, Fade, Guess, Pcg};
 use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -20,7 +21,7 @@
 /// Pressure: this many times the best pace; up to the second the bound narrows to the even share.
 const PRESSED: f64 = 1.2;
 const STRAINED: f64 = 1.6;
-/// Table groups whose order of engines is kept while the roster does not change.
+/// Table groups of which is kept what share they have, and their order while the roster does not change.
 const ORDERS: usize = 256;
 /// Half-lives of paces, long against looks and short against troubles, and of what hardly changes.
 const HALF: Ms = 2000.0;
@@ -53,76 +54,6 @@
 /// Outcomes' worth of deviation that a guess starts with.
 const LITTLE: f64 = 3.0;
 
-/// A sum and its weight, both fading; brought up to date when touched.
-#[derive(Clone, Copy, Default)]
-struct Fade {
-    sum: f64,
-    weight: f64,
-    at: Ms,
-}
-
-impl Fade {
-    fn add(&mut self, now: Ms, half: Ms, sum: f64, weight: f64) {
-        let keep = 0.5f64.powf((now - self.at) / half);
-        *self = Fade { sum: self.sum * keep + sum, weight: self.weight * keep + weight, at: now };
-    }
-    fn weight(&self, now: Ms, half: Ms) -> f64 {
-        self.weight * 0.5f64.powf((now - self.at) / half)
-    }
-    fn mean(&self) -> Option<f64> {
-        (self.weight > 0.0).then(|| self.sum / self.weight)
-    }
-}
-
-/// What an estimate stands for, learnt from what answers tell: a line through the logarithms of both. They
-/// scatter, so that a large one is more often too large; a slope of one and no shift while little is known.
-#[derive(Clone, Copy, Default)]
-struct Guess {
-    sums: [f64; 6], // weight, x, y, xx, xy, yy
-    at: Ms,
-}
-
-impl Guess {
-    fn add(&mut self, now: Ms, estimate: f64, is: f64) {
-        if estimate > 0.0 && is > 0.0 {
-            let (keep, x, y) = (0.5f64.powf((now - self.at) / LONG_HALF), estimate.ln(), is.ln());
-            let new = [1.0, x, y, x * x, x * y, y * y];
-            self.sums.iter_mut().zip(new).for_each(|(s, n)| *s = *s * keep + n);
-            self.at = now;
-        }
-    }
-    /// As many deviations above the middle as asked for.
-    fn of(&self, estimate: f64, above: impl Fn(f64) -> f64) -> f64 {
-        let ([n, sx, sy, sxx, sxy, syy], x) = (self.sums, estimate.ln());
-        if n == 0.0 {
-            return estimate;
-        }
-        let (xx, xy, yy) = (sxx - sx * sx / n, sxy - sx * sy / n, syy - sy * sy / n);
-        let slope = (xy + LITTLE) / (xx + LITTLE);
-        let spread = ((yy - slope * xy).max(0.0) / (n + 1.0)).sqrt();
-        (x + (sy - sx) / (n + 1.0) + (slope - 1.0) * (x - sx / n) + above(spread)).exp()
-    }
-}
-
-/// Permuted congruential generator, 32 bits out of 64.
-#[derive(Default)]
-struct Pcg(u64);
-
-impl Pcg {
-    fn lot(&mut self) -> u64 {
-        let s = self.0;
-        self.0 = s.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32) as u64
-    }
-}
-
-/// Spreads an engine id and a table group over 64 bits, alike at every gateway.
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 31)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    x = (x ^ (x >> 29)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
-    x ^ (x >> 32)
-}
-
 fn within(terms: &Terms, work: Ms) -> Ms {
     terms.expected + terms.expected_stretch * work / terms.threads
 }
@@ -227,8 +158,7 @@
     flying: Vec<usize>,
     bands: Vec<Band>,
     orders: RefCell<HashMap<u64, Vec<u32>>>, // by table group, until the roster changes
-    asked: HashMap<u64, Fade>,               // work by table group, and all
-    asked_all: Fade,
+    asked: HashMap<u64, Fade>,               // work by table group
     keys: BTreeMap<u64, (VecDeque<usize>, Ms)>, // who waits for a key, in order, and until when it rests
     taken_at: VecDeque<Ms>,
     further: VecDeque<Ms>,
@@ -328,7 +258,7 @@
         }
         let (terms, band) = (&self.m.bands[of.band], &mut self.bands[of.band]);
         // The mean of what scatters evenly by its logarithm.
-        let guess = of.work.map(|h| band.work_of.of(h, |spread| spread * spread / 2.0));
+        let guess = of.work.map(|h| band.work_of.of(h, LITTLE, |spread| spread * spread / 2.0));
         if let Some(work) = guess {
             band.work.add(now, LONG_HALF, work, 1.0);
         }
@@ -355,10 +285,9 @@
             self.keys.entry(of.key).or_default().0.push_back(sub);
         }
         if self.asked.len() >= ORDERS && !self.asked.contains_key(&of.tables) {
-            self.asked.clear();
+            (self.asked, self.orders) = Default::default();
         }
         self.asked.entry(of.tables).or_default().add(now, LONG_HALF, work, 0.0);
-        self.asked_all.add(now, LONG_HALF, work, 0.0);
         self.taken_at.push_back(now);
         self.probes = (self.probes + PROBES).min(AT_ONCE);
         if self.m.bands[of.band].closed {
@@ -397,14 +326,13 @@
         }
         if let Outcome::Settled(Some(cost)) = what {
             match s.of.work {
-                Some(hint) => band.work_of.add(now, hint, cost.work),
+                Some(hint) => band.work_of.add(now, LONG_HALF, hint, cost.work),
                 None => band.work.add(now, LONG_HALF, cost.work, 1.0),
             }
-            band.memory_of.add(now, s.of.memory_mb, cost.memory_mb);
+            band.memory_of.add(now, LONG_HALF, s.of.memory_mb, cost.memory_mb);
             s.work = cost.work.max(1.0);
         }
-        let (work, open, in_time) = (s.work, s.open, now <= s.aim);
-        let cells = s.of.cells;
+        let (work, open, in_time, cells) = (s.work, s.open, now <= s.aim, s.of.cells);
         let usual = self.service(b, cells, work);
         let e = &mut self.engines[fwd.engine];
         e.threads -= threads;
@@ -513,9 +441,6 @@
     // Against fast failures, silence, slowness and failed connects alike: an engine much worse than its
     // peers by its last outcomes. When all worsen together, that would only move the load: half may be aside.
     fn set_aside(&mut self, out: &mut dyn Outlet) -> bool {
-        if !self.engines.iter().any(|e| e.failures() >= BAD) {
-            return false;
-        }
         let ready = || self.engines.iter().filter(|e| e.listed.standing == Standing::Ready);
         let (n, aside) = (ready().count(), ready().filter(|e| e.aside.is_some()).count());
         let (bad, seen) = ready().fold((0, 0), |a, e| (a.0 + e.failures(), a.1 + e.seen));
@@ -688,33 +613,27 @@
     /// The pace of an engine in a band: time on its threads over work. It leans to the fleet's where little
     /// is known, and that to the best: one heavy query is no jam, and a jam not heard of may be over.
     fn pace(&self, e: &Engine, b: usize) -> f64 {
-        self.leaning(&e.pace[b], b, self.fleet_pace(b, e.listed.cells))
+        self.leaning(e.pace[b].now(self.now, HALF), b, self.fleet_pace(b, e.listed.cells))
     }
 
     /// Of the engines in those cells: against a slow cell that makes the waits of others seem hopeless.
     fn fleet_pace(&self, b: usize, cells: u64) -> f64 {
         let best = Some(self.bands[b].best).filter(|p| p.is_finite()).unwrap_or(1.0);
-        let mut all = self.bands[b].fleet.iter().filter(|f| cells == 0 || f.0 & cells != 0).map(|f| *f.1);
-        let mut fleet = all.next().unwrap_or_default();
-        for f in all {
-            // Brought to the same time before they are added up.
-            fleet.add(self.now, HALF, 0.0, 0.0);
-            let weight = f.weight(self.now, HALF);
-            fleet.add(self.now, HALF, f.mean().map_or(0.0, |m| m * weight), weight);
-        }
-        self.leaning(&fleet, b, best)
+        let all = self.bands[b].fleet.iter().filter(|f| cells == 0 || f.0 & cells != 0);
+        let fleet = all.map(|f| f.1.now(self.now, HALF)).fold((0.0, 0.0), |a, f| (a.0 + f.0, a.1 + f.1));
+        self.leaning(fleet, b, best)
     }
 
-    fn leaning(&self, pace: &Fade, b: usize, to: f64) -> f64 {
-        let (weight, lean) = (pace.weight(self.now, HALF), LEAN * self.usual_work(b));
-        (pace.mean().map_or(0.0, |m| m * weight) + to * lean) / (weight + lean)
+    fn leaning(&self, (sum, weight): (f64, f64), b: usize, to: f64) -> f64 {
+        let lean = LEAN * self.usual_work(b);
+        (sum + to * lean) / (weight + lean)
     }
 
     /// Times the best pace at which this engine answers now; 1 when nothing is known.
     fn stretch(&self, e: &Engine) -> f64 {
         let known = self.bands.iter().enumerate().filter(|b| b.1.best.is_finite());
         let (sum, weight) = known.fold((0.0, 0.0), |(sum, weight), (b, band)| {
-            let w = e.pace[b].weight(self.now, HALF) / self.usual_work(b) + LEAN;
+            let w = e.pace[b].now(self.now, HALF).1 / self.usual_work(b) + LEAN;
             (sum + w * self.pace(e, b) / band.best, weight + w)
         });
         // Without a measure the sum is no number, and `max` drops it.
@@ -736,7 +655,7 @@
 
     /// How long until this gateway would meet one engine again by its usual traffic.
     fn seldom(&self) -> Ms {
-        let taken: f64 = self.bands.iter().map(|b| b.work.weight(self.now, LONG_HALF)).sum();
+        let taken: f64 = self.bands.iter().map(|b| b.work.now(self.now, LONG_HALF).1).sum();
         (self.engines.len() as f64 * LONG_HALF / taken).clamp(TRICKLE, LONG_HALF)
     }
 
@@ -801,9 +720,6 @@
 
     fn order(&self, s: &Taken) -> Vec<usize> {
         let mut orders = self.orders.borrow_mut();
-        if orders.len() >= ORDERS && !orders.contains_key(&s.of.tables) {
-            orders.clear();
-        }
         let order = orders.entry(s.of.tables).or_insert_with(|| {
             let mut order: Vec<u32> = (0..self.engines.len() as u32).collect();
             order.sort_by_cached_key(|&i| mix(mix(s.of.tables) ^ self.engines[i as usize].listed.id));
@@ -828,8 +744,8 @@
     /// fill two engines each and leave the others idle.
     fn homes(&self, tables: u64) -> usize {
         let ready = self.engines.iter().filter(|e| e.in_use()).count();
-        let sum = |f: &Fade| f.sum * 0.5f64.powf((self.now - f.at) / LONG_HALF);
-        let share = self.asked.get(&tables).map_or(0.0, sum) / sum(&self.asked_all);
+        let all: f64 = self.bands.iter().map(|b| b.work.now(self.now, LONG_HALF).0).sum();
+        let share = self.asked.get(&tables).map_or(0.0, |f| f.now(self.now, LONG_HALF).0) / all;
         ((HOMES * ready) as f64 * share).round().max(HOMES as f64) as usize
     }
 
@@ -845,11 +761,10 @@
         let last = |i: usize| 2 * self.engines[i].aside.is_some() as u8 + s.tried.contains(&i) as u8;
         let best = order.iter().map(|&i| last(i)).min()?;
         order.retain(|&i| last(i) == best || best == 3);
-        let load =
-            |i: usize| self.engines[i].threads / self.engines[i].cores + self.engines[i].told(self.now);
+        let load = |e: &Engine| e.threads / e.cores + e.told(self.now);
         let (homes, rest) = order.split_at(self.homes(s.of.tables).min(order.len()));
         let home = homes.iter().copied().filter(|&i| self.open(i, s));
-        home.min_by(|&x, &y| load(x).total_cmp(&load(y)))
+        home.min_by(|&x, &y| load(&self.engines[x]).total_cmp(&load(&self.engines[y])))
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
@@ -877,7 +792,7 @@
         if !again && (self.m.priorities_heeded || self.m.grants_heeded) {
             let least = self.m.kinds.iter().map(|k| k.memory_mb).fold(f64::INFINITY, f64::min);
             let known = self.m.grants_heeded && memory > 0.0;
-            let grant = if known { band.memory_of.of(memory, |spread| GRANT * spread) } else { 0.0 };
+            let grant = if known { band.memory_of.of(memory, LITTLE, |spread| GRANT * spread) } else { 0.0 };
             out.terms(sub, self.priority(b), grant.min(least * self.m.most_grant));
         }
         out.forward(sub, engine);
