Where priorities are not heeded, the bound over all engines goes by weight

At neither new site do engines heed priorities, which carried the weights on. Now the least weight may fill 0.7 of the even share in sum, the most 2.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,9 @@
 
 /// Threads a core that all gateways may keep busy on an engine under pressure: not all are busy at once.
 const FACTOR: f64 = 2.5;
+/// Where priorities are not heeded: of the even share of all engines, what the least weight may fill, and the most.
+const LEAST: f64 = 0.7;
+const MOST: f64 = 2.0;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
 const HOMES: usize = 2;
 /// Pressure: this many times the best pace; up to the second the bound narrows to the even share.
@@ -674,8 +677,9 @@
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
-        let fits =
-            fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < self.share);
+        let most = (0..self.bands.len()).map(|b| self.weight(b)).fold(0.0, f64::max);
+        let bound = self.share * (LEAST + (MOST - LEAST) * self.weight(b) / most);
+        let fits = fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < bound);
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let asks = self.asks && self.heavy(b);
