--- a/src/logic.rs
+++ b/src/logic.rs
@@ -733,6 +733,7 @@
         able.retain(|&i| self.allowed(s, &self.engines[i]));
         if self.m.bands[s.of.band].holds {
             able.reverse();
+            able.truncate(able.len().max(2 * HOMES) - HOMES);
         }
         // Engines that another band must have come last, against a place taken that is its only one.
         if self.heavy(s.of.band) {
