--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -501,13 +501,23 @@
     // Against lookups that stand still behind a load on the same engine.
     let mut m = two_bands();
     m.bands[1].holds = true;
+    m.reports = vec![Load::Held];
     for tables in 0..20 {
         let mut g = start(m.clone(), 8);
+        // Other groups are asked for too: this one has its two homes.
+        let others = |i: usize| Submission { tables: 100 + i as u64, ..ask(0, 100.0) };
+        let now = learn(&mut g, 60, others, |_| Cost { work: 100.0, memory_mb: 0.0 });
         let at = |g: &mut Gateway, slot, band| {
-            send(g, 1.0, slot, Submission { tables, left: 20_000.0, ..ask(band, 100.0) })[0].1
+            send(g, now, slot, Submission { tables, left: 20_000.0, ..ask(band, 100.0) })[0].1
         };
-        let reads: Vec<usize> = (0..2).map(|i| at(&mut g, i, 0)).collect();
-        assert!((2..4).all(|i| !reads.contains(&at(&mut g, i, 1))), "group {tables}");
+        let reads: Vec<usize> = (1..9).map(|i| at(&mut g, i, 0)).collect();
+        assert!((9..17).all(|i| !reads.contains(&at(&mut g, i, 1))), "group {tables}");
+        // Not even when all others are full.
+        for e in (0..8).filter(|e| !reads.contains(e)) {
+            g.report(now, e, &[100.0], &mut Sheet::default());
+        }
+        let load = Submission { tables, left: 20_000.0, ..ask(1, 100.0) };
+        assert_eq!(send(&mut g, now, 17, load), [], "group {tables}");
     }
 }
 
@@ -527,6 +537,10 @@
         let of = |i: usize| Submission { tables: i as u64, ..ask(0, 100.0) };
         let sent: usize = (0..60).map(|i| send(&mut g, now, i, of(i)).len()).sum();
         assert!(sent <= most + 1 && sent >= most - 1, "{sent} sent, {most} by 80 cores x 2.5 / 40 gateways");
+        if !lines_up {
+            // Against what is worth most for its work, waiting behind what fills the bound where no priority helps.
+            assert_eq!(send(&mut g, now, 70, ask(1, 100.0)).len(), 1, "six times the weight");
+        }
     }
 }
 
