--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 
 /// Threads a core that all gateways may keep busy on an engine under pressure: not all are busy at once.
 const FACTOR: f64 = 2.5;
-/// Where priorities are not heeded: of the even share of all engines, what the least weight may fill, and the most.
+/// Where engines do not line up: of the even share of all, what the least weight may fill, and the most.
 const LEAST: f64 = 0.7;
 const MOST: f64 = 2.0;
 /// How many engines of a table group's order are its homes: more would share out its warm data.
