Read over: figures of the carrying alone are taken over by SIGHUP; names and bands are told once

A file in which only what the carrying goes by differs (open submissions, connections, names of report values) seemed to say the same as the last and was left. One type holds the names of zones and kinds, in place of two and their copies; bands by index are made where management makes them; limits are kept in the document alone. New tests: carriage alone, management before the file, cells of the operator's file kept; the switch test waits for the new settings, not for a time.

--- a/crates/change/src/document.rs
+++ b/crates/change/src/document.rs
@@ -227,7 +227,7 @@
     pub log: Log,
 }
 
-/// What a gateway is told at start and no change touches: the names of zones and kinds, by index.
+/// The names under which zones and kinds of machine come, by the index that the decisions know.
 #[derive(Clone, Debug, Default)]
 pub struct Frame {
     pub zones: Vec<String>,
@@ -235,6 +235,14 @@
 }
 
 impl Frame {
+    /// The number of a zone's name; one that was not told gets a number that no rule allows.
+    pub fn zone(&self, name: &str) -> u16 {
+        Self::index(&self.zones, name).unwrap_or(u16::MAX)
+    }
+    /// The number of a kind's name, likewise.
+    pub fn kind(&self, name: &str) -> u16 {
+        Self::index(&self.kinds, name).unwrap_or(u16::MAX)
+    }
     pub(crate) fn index(names: &[String], name: &str) -> Option<u16> {
         names.iter().position(|n| n.eq_ignore_ascii_case(name)).and_then(|i| u16::try_from(i).ok())
     }
--- a/crates/change/src/renewal.rs
+++ b/crates/change/src/renewal.rs
@@ -22,7 +22,6 @@
 #[derive(Clone)]
 pub struct Renewal {
     origin: Origin,
-    limits: Vec<Ms>,
     roll: Roll,
 }
 
@@ -32,7 +31,7 @@
         let File { mandate, names, limits, frame } = file;
         let document = Document::told(&mandate, &names, &limits, &frame);
         let roll = Roll::of(&document);
-        Renewal { origin: Origin { mandate, document, frame }, limits, roll }
+        Renewal { origin: Origin { mandate, document, frame }, roll }
     }
 
     /// What runs once this file is taken over; none where it says the same as the last.
@@ -71,7 +70,7 @@
         }
         let document = Document::told(&mandate, &file.names, &file.limits, &frame);
         // Before the checks: a file that only moves the list does what it did at the start.
-        if mandate == was.mandate && document == was.document && file.limits == self.limits {
+        if mandate == was.mandate && document == was.document {
             return Ok(None);
         }
         let faults: Vec<String> = document.faults(&frame).iter().map(|f| f.to_string()).collect();
@@ -90,7 +89,7 @@
             ));
         }
         let origin = Origin { mandate, document, frame };
-        Ok(Some(Renewal { origin, limits: file.limits, roll }))
+        Ok(Some(Renewal { origin, roll }))
     }
 
     /// For the decisions, by the indices kept.
@@ -98,20 +97,20 @@
         self.origin.mandate(&self.origin.document, &self.roll)
     }
 
-    /// The names of all bands by index; which are in service, the mandate says.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
-        self.roll.0.iter().map(|s| s.name.as_str())
+    /// All bands by index; which are in service, the mandate says.
+    pub fn roll(&self) -> &Roll {
+        &self.roll
+    }
+
+    /// What the file says of those in service.
+    pub fn document(&self) -> &Document {
+        &self.origin.document
     }
 
     /// The names of zones and kinds by index.
     pub fn frame(&self) -> &Frame {
         &self.origin.frame
     }
-
-    /// The longest hard limit of those in service.
-    pub fn longest(&self) -> Ms {
-        self.limits.iter().copied().fold(1.0, f64::max)
-    }
 }
 
 /// What was known in its order, then what is new.
--- a/crates/change/tests/renewal.rs
+++ b/crates/change/tests/renewal.rs
@@ -41,8 +41,12 @@
 fn what_had_an_index_keeps_it_and_the_way_back_ends_where_it_began() {
     // Against charges, order and places of open submissions that change hands with an index.
     let start = Renewal::new(first());
+    assert_eq!(start.mandate(), first().mandate, "to the last digit");
     let there = start.renew(second()).unwrap().expect("other settings");
-    assert_eq!(there.names().collect::<Vec<_>>(), ["lookup", "report", "load", "report"]);
+    assert_eq!(
+        there.roll().0.iter().map(|s| &*s.name).collect::<Vec<_>>(),
+        ["lookup", "report", "load", "report"]
+    );
     let m = there.mandate();
     let closed: Vec<bool> = m.bands.iter().map(|b| b.closed).collect();
     assert_eq!(
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,10 +1,10 @@
 //! The list's actor: asks the name service and tells the module's actor of changes.
 
-use crate::told::Index;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use ironstair::Standing;
+use ironstair_change::Frame;
 use ironstair_mail::clock::span;
 use ironstair_mail::{Event, Place, Shared};
 use ironstair_protocol::dns;
@@ -30,13 +30,13 @@
     pub known: BTreeMap<String, Place>,
     pub rev: u32,
     /// The names of zones and kinds, in the order that the decisions know.
-    pub index: Index,
+    pub index: Frame,
 }
 
 pub struct List {
     pub from: IpAddr,
     pub names: SocketAddr,
-    pub index: Index,
+    pub index: Frame,
     pub rev: u32,
     pub module: Sender<Event>,
     pub log: Logger,
@@ -116,7 +116,7 @@
     }
 }
 
-fn place(h: &dns::Host, index: &Index) -> Place {
+fn place(h: &dns::Host, index: &Frame) -> Place {
     let number = |name: &str| h.text(name).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
     Place {
         address: (h.address, h.port).into(),
--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -36,9 +36,9 @@
 /// # Errors
 /// The settings do not fit the tree, the folder can't be read, or the address is not free.
 pub fn open(m: &Management, told: &crate::told::Told, cells: Option<&Cells>) -> Result<Opened, String> {
-    let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
     let (mandate, state, cells) = (told.mandate.clone(), m.state.as_deref(), cells.map(operator::cells));
-    let started = ironstair_manage::open(mandate, &told.bands, &told.limits, frame, cells, state)?;
+    let started =
+        ironstair_manage::open(mandate, &told.bands, &told.limits, told.index.clone(), cells, state)?;
     let keys = m.tls.as_ref().map(|t| Keys::open(files(t))).transpose();
     let keys = keys.map_err(|why| format!("management.tls: {why}"))?;
     let (bound, streams) = (serve::bind(m.listen)?, m.streams);
@@ -59,9 +59,9 @@
 /// # Errors
 /// It does not fit the tree; the sentence names the field.
 pub fn fits(told: &crate::told::Told, cells: Option<&Cells>) -> Result<(), String> {
-    let frame = ironstair_change::Frame { zones: told.index.zones.clone(), kinds: told.index.kinds.clone() };
     let cells = cells.map(operator::cells);
-    ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, frame, cells, None).map(drop)
+    ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, told.index.clone(), cells, None)
+        .map(drop)
 }
 
 impl Opened {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,7 +4,7 @@
 use crate::module::{decide, Shown};
 use crate::operator::{self, Operator};
 use crate::places::Places;
-use crate::told::{self, Index, Told};
+use crate::told::{self, Told};
 use crate::{client, log, management};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -69,18 +69,16 @@
                         continue;
                     }
                 };
-                match new {
-                    Some(_) if renew.is_some() => {
-                        warn!(log, "settings come by management, those of the file are not taken over")
-                    }
-                    Some(new) => {
-                        renewal = new;
+                // What the carrying alone goes by may change as well.
+                if new.is_some() || told.carriage != *shared.carriage() {
+                    if renew.is_some() {
+                        warn!(log, "settings come by management, those of the file are not taken over");
+                    } else {
+                        renewal = new.unwrap_or(renewal);
                         take_over(&renewal, told.carriage.clone(), &shared).await;
                     }
-                    None => {}
                 }
-                let frame = renewal.frame();
-                told.under(&Index { zones: frame.zones.clone(), kinds: frame.kinds.clone() });
+                told.under(renewal.frame());
                 let Told { names, known, rev, index, .. } = told;
                 let _ = moves.send(Moved { names, known, rev, index }).await;
             }
@@ -97,13 +95,7 @@
 /// Other settings, through the module's mailbox: before the list that may rest on them, which comes after.
 async fn take_over(renewal: &Renewal, carriage: Carriage, shared: &Shared) {
     let mandate = renewal.mandate();
-    let bands = renewal.names().zip(&mandate.bands);
-    let bands = bands.map(|(name, b)| window::Told {
-        name: name.into(),
-        expected: b.expected,
-        in_service: !b.closed,
-    });
-    let (bands, longest) = (bands.collect(), renewal.longest());
+    let (bands, longest) = ironstair_manage::bands(renewal.roll(), renewal.document(), &mandate);
     let (done, told) = async_channel::bounded(1);
     let to = Amendment { mandate, bands, longest, cells: None, carriage: Some(carriage), done };
     let _ = shared.module.send(Event::Asked(Request::Amend(Box::new(to)))).await;
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -14,29 +14,6 @@
 const MEMORY_MB: f64 = 192.0;
 const DESCRIPTORS: f64 = 1024.0;
 
-/// The names under which zones and kinds of machine come; the decisions know them by index.
-#[derive(Clone)]
-pub struct Index {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
-impl Index {
-    pub fn frame(&self) -> Frame {
-        Frame { zones: self.zones.clone(), kinds: self.kinds.clone() }
-    }
-    /// A name that was not told gets a number that no rule allows.
-    fn of(names: &[String], name: &str) -> u16 {
-        names.iter().position(|n| n.eq_ignore_ascii_case(name)).unwrap_or(u16::MAX as usize) as u16
-    }
-    pub fn zone(&self, name: &str) -> u16 {
-        Self::of(&self.zones, name)
-    }
-    pub fn kind(&self, name: &str) -> u16 {
-        Self::of(&self.kinds, name)
-    }
-}
-
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
@@ -50,7 +27,7 @@
     pub bands: Vec<String>,
     /// The bands' hard limits.
     pub limits: Vec<Ms>,
-    pub index: Index,
+    pub index: Frame,
     /// The roster up to now, and the number of its last change.
     pub known: BTreeMap<String, Place>,
     pub rev: u32,
@@ -59,11 +36,11 @@
 impl Told {
     pub fn file(&self) -> File {
         let (mandate, names) = (self.mandate.clone(), self.bands.clone());
-        File { mandate, names, limits: self.limits.clone(), frame: self.index.frame() }
+        File { mandate, names, limits: self.limits.clone(), frame: self.index.clone() }
     }
 
     /// The roster with its zones and kinds under other indices.
-    pub fn under(&mut self, index: &Index) {
+    pub fn under(&mut self, index: &Frame) {
         let named = |names: &[String], i: u16| names.get(i as usize).cloned().unwrap_or_default();
         for place in self.known.values_mut() {
             place.zone = index.zone(&named(&self.index.zones, place.zone));
@@ -87,7 +64,7 @@
     let v: Value = serde_json::from_slice(json).map_err(|e| e.to_string())?;
     let settings = &v["settings"];
     let seed = word(&v, "seed")?;
-    let index = Index { zones: zones(settings)?, kinds: kinds(settings)? };
+    let index = Frame { zones: zones(settings)?, kinds: kinds(settings)? };
     let mut known = BTreeMap::new();
     let notices = v["known"]["notices"].as_array();
     for notice in notices.into_iter().flatten() {
@@ -111,7 +88,7 @@
 }
 
 /// One change of the roster, upon those before it.
-fn follow(known: &mut BTreeMap<String, Place>, pool: &Value, index: &Index) -> Result<(), String> {
+fn follow(known: &mut BTreeMap<String, Place>, pool: &Value, index: &Frame) -> Result<(), String> {
     if pool["reset"].as_bool().unwrap_or(false) {
         known.clear();
     }
@@ -150,7 +127,7 @@
             json!({"instanceId": name, "hostPort": format!("10.1.0.9:{port}"), "zone": "b", "machineType": "new",
                 "cell": 2, "lifecycle": state, "startedAtMs": 5})
         };
-        let index = Index { zones: vec!["a".into(), "b".into()], kinds: vec!["std".into()] };
+        let index = Frame { zones: vec!["a".into(), "b".into()], kinds: vec!["std".into()] };
         let mut known = BTreeMap::from([(
             "left-over".to_string(),
             Place {
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -42,6 +42,31 @@
     g.signal("-HUP");
 }
 
+/// A gateway whose log lines are kept.
+fn logged(test: &str, told: &Value, roster: Roster, operator: Option<Value>) -> (Gateway, Seen) {
+    let dir = std::env::temp_dir().join(format!("ironstair-{test}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    std::fs::write(dir.join("told.json"), told.to_string()).unwrap();
+    let mut serve = Command::new(env!("CARGO_BIN_EXE_ironstair"));
+    serve.arg("serve").env("ROUTER_CONFIG", dir.join("told.json")).stderr(Stdio::piped());
+    if let Some(operator) = operator {
+        std::fs::write(dir.join("operator.json"), operator.to_string()).unwrap();
+        serve.arg("--operator").arg(dir.join("operator.json"));
+    }
+    let mut process = serve.spawn().unwrap();
+    let (lines, err) = (Seen::default(), process.stderr.take().unwrap());
+    let kept = lines.clone();
+    thread::spawn(move || {
+        BufReader::new(err).lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l))
+    });
+    let at = told["listen"].as_str().unwrap().parse().unwrap();
+    (Gateway { process, at, roster, dir }, lines)
+}
+
+fn count(lines: &Seen, what: &str) -> usize {
+    lines.lock().unwrap().iter().filter(|l| l.contains(what)).count()
+}
+
 /// Calls by id: how many final answers of each kind.
 type Answers = Arc<Mutex<BTreeMap<u64, Vec<&'static str>>>>;
 
@@ -69,11 +94,14 @@
     let (first, second) = (told["settings"].clone(), other(&told["settings"]));
     let g = started("switch", told.clone(), roster, None);
     // A band that was never told is a client's fault, of which a connection bears few: it is told once.
-    let mut c = Client::of(&g);
     put(&g, &told, &second);
-    thread::sleep(Duration::from_millis(300));
-    c.ask_in("load", 1 << 40);
-    assert_eq!(c.rows().0, 1 << 40);
+    let mut nth = 0;
+    assert!(soon(|| {
+        nth += 1;
+        let mut c = Client::of(&g);
+        c.ask_in("load", (1 << 40) + nth);
+        c.hear()["result"].is_object()
+    }));
     put(&g, &told, &first);
     let answers = Answers::default();
     let bands = ["lookup", "report", "load"];
@@ -101,10 +129,10 @@
     let answers = answers.lock().unwrap();
     assert_eq!(answers.len(), 1800, "each call is answered");
     assert!(answers.values().all(|a| a.len() == 1), "once");
-    let count = |kind: &str| answers.values().filter(|a| a[0] == kind).count();
-    assert_eq!(count("scrapped"), 0);
-    assert!(count("settled") > 1200, "{} settled", count("settled"));
-    assert!(count("turned back") > 0, "load is out of service half of the time");
+    let answered = |kind: &str| answers.values().filter(|a| a[0] == kind).count();
+    assert_eq!(answered("scrapped"), 0);
+    assert!(answered("settled") > 1200, "{} settled", answered("settled"));
+    assert!(answered("turned back") > 0, "load is out of service half of the time");
     let mut sent = BTreeMap::new();
     for seen in [seen_a, seen_b] {
         let seen = seen.lock().unwrap();
@@ -112,7 +140,7 @@
             .filter(|l| l.starts_with("fetch"))
             .for_each(|l| *sent.entry(id(l).to_string()).or_insert(0) += 1);
     }
-    assert_eq!(sent.len(), count("settled") + 1, "what was settled was sent, and nothing else");
+    assert_eq!(sent.len(), answered("settled") + 1, "what was settled was sent, and nothing else");
     assert!(sent.values().all(|&n| n == 1), "none twice");
 }
 
@@ -120,27 +148,8 @@
 fn a_bad_file_leaves_the_old_settings_whole_and_says_which_field() {
     let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
     let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
-    let (told, _roster) = told(2, json!([class("lookup"), class("report")]), &[("e1", at)]);
-    let dir = std::env::temp_dir().join(format!("ironstair-bad-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    std::fs::write(dir.join("told.json"), told.to_string()).unwrap();
-    let mut serve = Command::new(env!("CARGO_BIN_EXE_ironstair"));
-    serve
-        .arg("serve")
-        .env("ROUTER_CONFIG", dir.join("told.json"))
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped());
-    let mut process = serve.spawn().unwrap();
-    let lines = Seen::default();
-    let out: [Box<dyn std::io::Read + Send>; 2] =
-        [Box::new(process.stdout.take().unwrap()), Box::new(process.stderr.take().unwrap())];
-    for out in out {
-        let lines = lines.clone();
-        thread::spawn(move || {
-            BufReader::new(out).lines().map_while(Result::ok).for_each(|l| lines.lock().unwrap().push(l))
-        });
-    }
-    let g = Gateway { process, at: told["listen"].as_str().unwrap().parse().unwrap(), roster: _roster, dir };
+    let (told, roster) = told(2, json!([class("lookup"), class("report")]), &[("e1", at)]);
+    let (g, lines) = logged("bad", &told, roster, None);
     let mut c = Client::of(&g);
     let said = |what: &str| soon(|| lines.lock().unwrap().iter().any(|l| l.contains(what)));
     let good = other(&told["settings"]);
@@ -165,17 +174,83 @@
         c.ask_in("report", 1);
         assert_eq!(c.rows().0, 1, "{field}");
     }
-    assert!(!lines.lock().unwrap().iter().any(|l| l.contains("new settings hold")));
+    assert_eq!(count(&lines, "new settings hold"), 0);
     put(&g, &told, &good);
     assert!(said("new settings hold"));
     c.ask_in("load", 2);
     assert_eq!(c.rows().0, 2);
     put(&g, &told, &told["settings"]);
-    assert!(soon(|| lines.lock().unwrap().iter().filter(|l| l.contains("new settings hold")).count() == 2));
+    assert!(soon(|| count(&lines, "new settings hold") == 2));
     c.ask_in("load", 3);
     assert_eq!(c.hear()["error"]["code"], -32014, "out of service again");
     put(&g, &told, &told["settings"]);
     c.ask_in("lookup", 4);
     assert_eq!(c.rows().0, 4);
-    assert_eq!(lines.lock().unwrap().iter().filter(|l| l.contains("new settings hold")).count(), 2);
+    assert_eq!(count(&lines, "new settings hold"), 2);
+}
+
+#[test]
+fn what_the_carrying_alone_goes_by_is_taken_over_too() {
+    // Against a file that seems to say the same as the last, as the decisions go by nothing that it changes.
+    let (at, _) = engine(|line, _| {
+        thread::sleep(Duration::from_millis(300));
+        (done(line, "x\ty\tz\n"), false)
+    });
+    let class =
+        json!({"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let (told, roster) = told(1, json!([class]), &[("e1", at)]);
+    let (g, lines) = logged("carriage", &told, roster, None);
+    let mut c = Client::of(&g);
+    let mut s = told["settings"].clone();
+    s["policy_limits"]["max_open"] = json!(1);
+    put(&g, &told, &s);
+    assert!(soon(|| count(&lines, "new settings hold") == 1));
+    (1..3).for_each(|call| c.ask(call));
+    assert_eq!(c.hear()["error"]["code"], -32014, "one may be open");
+    assert_eq!(c.rows().0, 1);
+    put(&g, &told, &told["settings"]);
+    assert!(soon(|| count(&lines, "new settings hold") == 2));
+    (3..5).for_each(|call| c.ask(call));
+    assert_eq!([c.rows().0, c.rows().0], [3, 4]);
+}
+
+#[test]
+fn where_management_is_on_the_file_moves_the_list_alone() {
+    // Against a commit and a file that contradict each other.
+    let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let (told, roster) = told(1, json!([class("lookup"), class("report")]), &[("e1", at)]);
+    let operator = json!({"management": {"listen": own_address().to_string()}});
+    let (g, lines) = logged("managed-switch", &told, roster, Some(operator));
+    let mut c = Client::of(&g);
+    put(&g, &told, &other(&told["settings"]));
+    assert!(soon(
+        || count(&lines, "settings come by management") == 1 && count(&lines, "name service has moved") == 1
+    ));
+    c.ask_in("load", 1);
+    assert_eq!(c.hear()["error"]["code"], -32601, "never told");
+    c.ask_in("lookup", 2);
+    assert_eq!(c.rows().0, 2);
+    assert_eq!(count(&lines, "new settings hold"), 0);
+}
+
+#[test]
+fn cells_of_the_operators_file_outlive_a_switch() {
+    let engines: Vec<_> = (0..2).map(|_| engine(|line, _| (done(line, "x\ty\tz\n"), false))).collect();
+    let class =
+        json!({"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    let (told, roster) = told(1, json!([class]), &[("e1", engines[0].0), ("e2", engines[1].0)]);
+    let cells = json!({"cells": {"names": {"a": 1, "b": 1}, "named_by_clients": true,
+        "engines": {"e1": "a", "e2": "b"}, "tenants": {"t1": ["a"]}, "without": {"turn_back": 500}}});
+    let (g, lines) = logged("cells-switch", &told, roster, Some(cells));
+    let mut c = Client::of(&g);
+    put(&g, &told, &other(&told["settings"]));
+    assert!(soon(|| count(&lines, "new settings hold") == 1));
+    for call in 1..20u64 {
+        c.say(&format!(
+            r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{"id":"{call:016x}","wait":4000,"bytes":"c2VsZWN0IDE=","tenant":"t1"}}}}"#
+        ));
+        assert_eq!(c.rows().0, call);
+    }
+    assert!(!engines[1].1.lock().unwrap().iter().any(|l| l.starts_with("fetch")), "t1 is of cell a");
 }
--- a/crates/manage/src/lib.rs
+++ b/crates/manage/src/lib.rs
@@ -7,4 +7,4 @@
 
 pub use desk::{Desk, Manager, Refused, Tree, Watch};
 pub use file::Journal;
-pub use start::{open, Started};
+pub use start::{bands, open, Started};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -167,7 +167,7 @@
     further: VecDeque<Ms>,
     probes: f64,
     held: Fade, // threads of a query that an engine holds
-    /// Crowded, the even share of an engine being less than a wide query: engines are asked, or tell nothing.
+    /// Crowded, the even share of an engine being less than a wide query: engines that may be probed are asked.
     crowded: bool,
     asks: bool,
     share: f64,
