The bound in sum has a name and costs nothing where engines line up; a list that moves with settings

New test: engine list and settings change at one SIGHUP, kinds in another order, forth and back; it fails when the list is read under the file's own numbers.

--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -262,3 +262,40 @@
         assert!(!calls.is_empty() && calls.iter().all(|c| *c as usize % 2 == nth), "engine {nth}: {calls:?}");
     }
 }
+
+#[test]
+fn an_engine_list_that_changes_with_the_settings_is_read_under_their_names() {
+    // Against engines of the new list known by the old file's numbers: bands would find no place, or a wrong one.
+    let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
+    let ((old, _), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
+    let class = |kind: u16| {
+        json!([{"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0,
+            "machine_types_allowed": [kind]}])
+    };
+    let (told, roster) = told(1, class(0), &[("e1", old)]);
+    let (g, _lines) = logged("list-switch", &told, roster, None);
+    let mut c = Client::of(&g);
+    let mut moved = told.clone();
+    moved["settings"]["machine_types"] = json!(["new", "m"]);
+    moved["settings"]["family_info"]["size_cores"] = json!([4, 16]);
+    moved["settings"]["classes"] = class(0);
+    let mut back = told.clone();
+    for (v, rev, name, at, kind) in [(&mut moved, 2, "e9", new, "new"), (&mut back, 3, "e1", old, "m")] {
+        v["known"] = json!({"rev": rev, "notices": [{"rev": rev, "pool": {"reset": true, "instances": [
+            {"instanceId": name, "hostPort": at.to_string(), "zone": "a", "machineType": kind, "cell": 0,
+                "lifecycle": "ready", "startedAtMs": 0}]}}]});
+    }
+    let mut call = 0;
+    for (file, want) in [(&told, b"old\t\t\n"), (&moved, b"new\t\t\n"), (&back, b"old\t\t\n")] {
+        put(&g, file, &file["settings"]);
+        assert!(soon(|| {
+            call += 1;
+            c.ask(call);
+            let answer = c.hear();
+            use base64::Engine;
+            answer["result"]["bytes"]
+                .as_str()
+                .is_some_and(|t| base64::engine::general_purpose::STANDARD.decode(t).unwrap() == want)
+        }));
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -170,7 +170,7 @@
     /// Crowded, the even share of an engine being less than a wide query: engines that may be probed are asked.
     crowded: bool,
     asks: bool,
-    share: f64,
+    share: f64, // of all engines in use: own threads, for as many gateways
     wake_at: Ms,
     subscribe_at: Option<Ms>,
 }
@@ -671,15 +671,20 @@
         s.chance(e.listed.id ^ at.to_bits()) < (1.0 - share) / (1.0 - EASY)
     }
 
+    // Against a crowd in which each sends one query where none of its own run, to every engine.
+    fn fits_in_sum(&self, b: usize) -> bool {
+        let threads: f64 = self.bands.iter().map(|b| b.threads).sum();
+        let most = (0..self.bands.len()).map(|b| self.weight(b)).fold(0.0, f64::max);
+        threads < self.share * (LEAST + (MOST - LEAST) * self.weight(b) / most)
+    }
+
     // The bound is asked before the submission's own threads: an even share may be less than one wide query.
     fn open(&self, engine: usize, s: &Taken) -> bool {
         let (e, b) = (&self.engines[engine], s.of.band);
         let stretch = self.stretch(e);
         let strain = ((stretch - PRESSED) / (STRAINED - PRESSED)).clamp(0.0, 1.0);
         let fits = e.threads == 0.0 || e.threads < e.cores * FACTOR / self.m.gateways.powf(strain);
-        let most = (0..self.bands.len()).map(|b| self.weight(b)).fold(0.0, f64::max);
-        let bound = self.share * (LEAST + (MOST - LEAST) * self.weight(b) / most);
-        let fits = fits && (self.m.lines_up || self.bands.iter().map(|b| b.threads).sum::<f64>() < bound);
+        let fits = fits && (self.m.lines_up || self.fits_in_sum(b));
         // Against a jam that feeds itself: under pressure nothing goes where it would miss its expected time.
         let in_time = self.now + s.work / self.m.bands[b].threads * self.pace(e, b) <= s.aim;
         let asks = self.asks && self.heavy(b);
