Room for all descriptors is made at start, before the first thread: no standstill while it grows

Change: serve copies a descriptor to the highest number told and closes it, while the process has one thread; a refusal halves the number and is one line in the log. At most 65,536, half a megabyte. Test: FDSize of a started gateway; fails with the call taken out.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -34,6 +34,8 @@
 const LAST_WORDS: f64 = 200.0;
 /// What may lie in the module's mailbox before peers wait.
 const MAILBOX: usize = 1024;
+/// Descriptors that room is made for at the start: half a megabyte of the kernel's memory.
+const ROOM_MOST: usize = 1 << 16;
 /// Without a free descriptor: how long until the next try.
 const NO_DESCRIPTOR: f64 = 20.0;
 
@@ -105,8 +107,24 @@
     }
 }
 
+/// Has the kernel make room for so many descriptors, or for as many as it allows; tells how many it refused
+/// and for how many there is room then.
+///
+/// Against standing still for seconds under load: the table grows by doubling, and once several threads share
+/// it, each time a connection is opened that no longer fits waits until all cores have come round
+/// (`synchronize_rcu` in Linux). To be called while the process has one thread.
+fn make_room(descriptors: usize) -> Option<(usize, usize)> {
+    let wanted = descriptors.clamp(1, ROOM_MOST);
+    let mut fewer = std::iter::successors(Some(wanted), |n| Some(n / 2)).take_while(|n| *n > 0);
+    // One copy with the highest number, given back at once: the table keeps its size.
+    let copied = |n: &usize| rustix::io::fcntl_dupfd_cloexec(std::io::stderr(), *n as i32 - 1).is_ok();
+    let made = fewer.find(copied).unwrap_or(0);
+    (made < wanted).then_some((wanted, made))
+}
+
 pub fn serve(path: &Path, operator: Option<Operator>, form: log::Form) -> Result<(), String> {
     let told = told::read(path)?;
+    let refused = make_room(told.descriptors);
     let file = told.file();
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
     let cells = operator.as_ref().and_then(|o| o.cells.as_ref());
@@ -116,6 +134,9 @@
         None => cells.map(operator::keeper).transpose()?,
     };
     let (log, _guard, level) = log::open(&told.name, form);
+    if let Some((wanted, made)) = refused {
+        warn!(log, "there is room for fewer descriptors than told"; "told" => wanted, "room" => made);
+    }
     let executor = Rc::new(LocalExecutor::new());
     let (module, events) = async_channel::bounded(MAILBOX);
     // What was set before the last end comes before what is told.
--- a/crates/gateway/tests/serve.rs
+++ b/crates/gateway/tests/serve.rs
@@ -454,3 +454,21 @@
     let ended = soon(|| TcpStream::connect(g.at).is_err());
     assert!(ended && g.process.wait().unwrap().success());
 }
+
+#[test]
+fn room_for_all_descriptors_is_made_before_anything_is_served() {
+    // Against a gateway that stands still for seconds while the kernel makes its table of them grow.
+    let (at, _) = engine(|line, _| (done(line, "x\ty\tz\n"), false));
+    let class = |name: &str| json!({"name": name, "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
+    for (sockets, room) in [(json!(384), 384), (json!(1e9), 512)] {
+        let (mut told, roster) = told(2, json!([class("lookup"), class("report")]), &[("e1", at)]);
+        told["limits"] = json!({"memory_mb": 192, "sockets": sockets});
+        let g = started(&format!("room-{room}"), told, roster, None);
+        let mut c = Client::of(&g);
+        c.ask(1);
+        assert_eq!(c.rows().0, 1);
+        let status = std::fs::read_to_string(format!("/proc/{}/status", g.process.id())).unwrap();
+        let size = status.lines().find_map(|l| l.strip_prefix("FDSize:")).unwrap();
+        assert!(size.trim().parse::<u32>().unwrap() >= room, "{size} for {sockets}");
+    }
+}
