--- /dev/null
+++ b/crates/accord/src/chair.rs
@@ -0,0 +1,309 @@
+//! What the fleet's chair does next: who is let in, who still counts, and when a change takes its next step. Its
+//! memory is of one term: a later chair knows only the log, and waits until no lease of the earlier can be left.
+
+use crate::fleet::{Fleet, Step};
+use crate::record::{Record, Seat, Wish};
+use crate::{Answer, Beat, Policy, DRIFT};
+use ironstair::Ms;
+use std::collections::BTreeMap;
+
+/// A member that was not heard for so many leases is taken out of the log's list.
+const FORGOTTEN: f64 = 10.0;
+/// Asks that wait for the log.
+const ASKS_MOST: usize = 16;
+/// Members let in or out by one record.
+const SEATED_AT_ONCE: usize = 256;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ask<D> {
+    Change(Wish<D>),
+    Confirm {
+        id: String,
+    },
+    /// A change that waits to be confirmed, or one under way.
+    Cancel {
+        id: Option<String>,
+        who: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refusal {
+    /// No history has begun.
+    NotBegun,
+    /// One is under way, or waits to be confirmed.
+    UnderWay { number: u64, who: String },
+    /// It was made upon a revision that runs no more.
+    Outdated { runs: u64 },
+    /// Nothing is safe beside both.
+    Apart,
+    /// Nothing of the kind waits.
+    Nothing,
+    /// Too many wait.
+    Busy,
+}
+
+/// What one member said in this term.
+#[derive(Clone, Debug, PartialEq)]
+struct Heard {
+    start: u64,
+    at: Ms,
+    mark: u64,
+    /// No lease granted by this chair runs longer.
+    until: Ms,
+    examined: Option<(u64, Result<(), String>)>,
+    leaving: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chair<D> {
+    since: Ms,
+    lease: Ms,
+    heard: BTreeMap<String, Heard>,
+    knocking: BTreeMap<String, Seat>,
+    asks: Vec<Ask<D>>,
+    /// What was handed to the log, and when: nothing more until its fate is known, or it must be lost.
+    written: Option<Ms>,
+    trial: Option<(u64, Ms)>,
+}
+
+type Rule<D> = fn(&Chair<D>, Ms, &Fleet<D>) -> Option<Record<D>>;
+
+impl<D: Policy> Chair<D> {
+    /// In order: who is there, then the change that is under way, then what is asked.
+    const RULES: [Rule<D>; 5] =
+        [Self::seat, Self::refuse, Self::bind, Self::decide, Self::take_back_the_overdue];
+
+    pub fn new(now: Ms, lease: Ms) -> Self {
+        let (heard, knocking, asks) = Default::default();
+        Chair { since: now, lease, heard, knocking, asks, written: None, trial: None }
+    }
+
+    fn grace(&self) -> Ms {
+        self.lease * DRIFT
+    }
+
+    /// Whether a member may still decide by what it last held.
+    pub fn counts(&self, now: Ms, fleet: &Fleet<D>, name: &str) -> bool {
+        let Some(seat) = fleet.members.get(name) else { return false };
+        let heard = self.heard.get(name).filter(|h| h.start == seat.start);
+        if heard.is_some_and(|h| h.leaving) {
+            return false;
+        }
+        // Leases of an earlier chair are known to nobody.
+        seat.steady || now < self.since + self.grace() || heard.is_some_and(|h| h.until > now)
+    }
+
+    /// When the member was last heard, and how long its lease runs by the chair's clock.
+    pub fn heard(&self, name: &str) -> Option<(Ms, Ms, u64)> {
+        self.heard.get(name).map(|h| (h.at, h.until, h.mark))
+    }
+
+    /// A beat, once a quorum has confirmed this chair since it came.
+    pub fn beat(&mut self, now: Ms, fleet: &Fleet<D>, beat: &Beat) -> Answer<D> {
+        let known = beat.history == fleet.history;
+        let mark = if known { beat.mark } else { 0 };
+        let mut answer = Answer {
+            start: beat.start,
+            sent: beat.sent,
+            history: fleet.history,
+            mark: fleet.mark,
+            hold: fleet.held().filter(|_| mark != fleet.mark),
+            offer: None,
+            lease: None,
+            why: None,
+        };
+        if fleet.history == 0 {
+            answer.why = Some("the fleet has no history yet: an operator begins it".into());
+            return answer;
+        }
+        let staged = fleet.change.as_ref().filter(|c| c.step == Step::Staged);
+        let seen = beat.examined.as_ref().map(|e| e.0);
+        answer.offer = staged.filter(|c| seen != Some(c.number)).map(|c| (c.number, c.document.clone()));
+        let seat = Seat { start: beat.start, steady: beat.steady };
+        match fleet.members.get(&beat.name) {
+            Some(s) if *s == seat => {}
+            // Not beside a process of that name that may still decide.
+            Some(s) if s.start != seat.start && !s.steady && self.counts(now, fleet, &beat.name) => {
+                answer.why = Some(format!(
+                    "another process is {} in this fleet, or was until a moment ago",
+                    beat.name
+                ));
+                return answer;
+            }
+            _ => {
+                if !beat.leaving {
+                    self.knocking.insert(beat.name.clone(), seat);
+                }
+                return answer;
+            }
+        }
+        let grace = self.grace();
+        let fresh = Heard { start: beat.start, at: now, mark: 0, until: 0.0, examined: None, leaving: false };
+        let h = self.heard.entry(beat.name.clone()).or_insert(fresh.clone());
+        if h.start != beat.start {
+            *h = fresh;
+        }
+        // Beats come late and twice: what a process holds and has examined only grows.
+        (h.at, h.mark, h.leaving) = (now, h.mark.max(mark), h.leaving || beat.leaving);
+        if seen > h.examined.as_ref().map(|e| e.0) {
+            h.examined = beat.examined.clone();
+        }
+        if mark == fleet.mark && !h.leaving {
+            h.until = h.until.max(now + grace);
+            answer.lease = Some(self.lease);
+        }
+        answer
+    }
+
+    /// Takes an ask to be written to the log.
+    ///
+    /// # Errors
+    /// It can't be as things stand.
+    pub fn ask(&mut self, fleet: &Fleet<D>, ask: Ask<D>) -> Result<(), Refusal> {
+        self.fits(fleet, &ask)?;
+        if self.asks.len() >= ASKS_MOST {
+            return Err(Refusal::Busy);
+        }
+        self.asks.push(ask);
+        Ok(())
+    }
+
+    fn fits(&self, fleet: &Fleet<D>, ask: &Ask<D>) -> Result<(), Refusal> {
+        let (runs, running) = fleet.running.as_ref().ok_or(Refusal::NotBegun)?;
+        let id = fleet.trial.as_ref().map(|t| &t.id);
+        match ask {
+            Ask::Change(wish) => {
+                let asked = |a: &&Ask<D>| matches!(a, Ask::Change(_));
+                if let Some(Ask::Change(w)) = self.asks.iter().find(asked).filter(|a| *a != ask) {
+                    return Err(Refusal::UnderWay { number: fleet.next, who: w.who.clone() });
+                }
+                let number = fleet.change.as_ref().map(|c| c.number).or(id.map(|_| *runs));
+                if let Some(number) = number {
+                    let line = fleet.lines.iter().find(|l| l.number == number);
+                    let who = line.map(|l| l.who.clone()).unwrap_or_default();
+                    return Err(Refusal::UnderWay { number, who });
+                }
+                if wish.upon != *runs {
+                    return Err(Refusal::Outdated { runs: *runs });
+                }
+                running.stricter(&wish.document).map(drop).ok_or(Refusal::Apart)
+            }
+            Ask::Confirm { id: asked } if id == Some(asked) => Ok(()),
+            Ask::Cancel { id: asked, .. } => {
+                let way = fleet.change.as_ref().is_some_and(|c| !c.back);
+                let which = asked.as_ref().is_none_or(|a| {
+                    id == Some(a) || fleet.change.iter().any(|c| c.commit.as_ref().is_some_and(|c| c.0 == *a))
+                });
+                if which && (way || id.is_some()) {
+                    Ok(())
+                } else {
+                    Err(Refusal::Nothing)
+                }
+            }
+            Ask::Confirm { .. } => Err(Refusal::Nothing),
+        }
+    }
+
+    /// When `next` is wanted at the latest.
+    pub fn due(&self, now: Ms) -> Ms {
+        let trial = self.trial.map_or(Ms::INFINITY, |t| t.1);
+        (now + self.lease / 6.0).min(trial)
+    }
+
+    /// The log has taken a record: the chair looks anew.
+    pub fn applied(&mut self) {
+        self.written = None;
+    }
+
+    /// The next record to be written, one at a time.
+    pub fn next(&mut self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        if self.written.is_some_and(|at| now < at + self.lease) {
+            return None;
+        }
+        self.knocking.retain(|name, seat| fleet.members.get(name) != Some(seat));
+        self.heard.retain(|name, _| fleet.members.contains_key(name));
+        // Its time begins when this chair first sees it run.
+        let runs = fleet.running.as_ref().map_or(0, |r| r.0);
+        let trial = fleet.trial.as_ref().map(|t| (runs, now + t.span));
+        self.trial = trial.map(|new| self.trial.filter(|old| old.0 == new.0).unwrap_or(new));
+        let record = Self::RULES.iter().find_map(|rule| rule(self, now, fleet));
+        let record = record.or_else(|| self.asked(fleet))?;
+        self.written = Some(now);
+        Some(record)
+    }
+
+    // Before their first lease, so that a later chair knows of them.
+    fn seat(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        let gone = |(name, seat): &(&String, &Seat)| {
+            let heard = self.heard.get(*name).filter(|h| h.start == seat.start);
+            let last = heard.map_or(self.since, |h| h.at.max(self.since));
+            let long = now >= last + FORGOTTEN * self.lease && !seat.steady;
+            heard.is_some_and(|h| h.leaving) || long && !self.counts(now, fleet, name)
+        };
+        let left = fleet.members.iter().filter(gone).map(|(name, seat)| (name.clone(), seat.start));
+        let left: Vec<_> = left.take(SEATED_AT_ONCE).collect();
+        let joined = self.knocking.iter().filter(|(name, seat)| {
+            let same = fleet.members.get(*name).is_some_and(|s| s.steady || s.start == seat.start);
+            same || !self.counts(now, fleet, name)
+        });
+        let joined: Vec<_> = joined.take(SEATED_AT_ONCE).map(|(n, s)| (n.clone(), s.clone())).collect();
+        (!left.is_empty() || !joined.is_empty()).then_some(Record::Members { joined, left })
+    }
+
+    fn staged<'a>(&self, fleet: &'a Fleet<D>, step: Step) -> Option<&'a crate::fleet::Change<D>> {
+        fleet.change.as_ref().filter(|c| c.step == step)
+    }
+
+    /// Whether all that may still decide are so.
+    fn all(&self, now: Ms, fleet: &Fleet<D>, so: impl Fn(&Heard) -> bool) -> bool {
+        let mut counted = fleet.members.iter().filter(|(name, _)| self.counts(now, fleet, name));
+        counted.all(|(name, seat)| self.heard.get(name).is_some_and(|h| h.start == seat.start && so(h)))
+    }
+
+    fn refuse(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        let number = self.staged(fleet, Step::Staged)?.number;
+        let counted = self.heard.iter().filter(|(name, _)| self.counts(now, fleet, name));
+        let mut faults = counted.filter_map(|(name, h)| match &h.examined {
+            Some((n, Err(why))) if *n == number => Some((name.clone(), why.clone())),
+            _ => None,
+        });
+        faults.next().map(|(by, why)| Record::Refused { number, by, why })
+    }
+
+    fn bind(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        let number = self.staged(fleet, Step::Staged)?.number;
+        let fit = |h: &Heard| h.examined == Some((number, Ok(())));
+        self.all(now, fleet, fit).then_some(Record::Binding { number })
+    }
+
+    fn decide(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        let number = self.staged(fleet, Step::Binding)?.number;
+        self.all(now, fleet, |h| h.mark == fleet.mark).then_some(Record::Decided { number })
+    }
+
+    fn take_back_the_overdue(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        let (number, until) = self.trial?;
+        (fleet.change.is_none() && now >= until).then_some(Record::TakenBack { number })
+    }
+
+    fn asked(&mut self, fleet: &Fleet<D>) -> Option<Record<D>> {
+        while !self.asks.is_empty() {
+            let ask = self.asks.remove(0);
+            if self.fits(fleet, &ask).is_err() {
+                continue;
+            }
+            let number = fleet.running.as_ref().map_or(0, |r| r.0);
+            return Some(match ask {
+                Ask::Change(wish) => Record::Staged(wish),
+                Ask::Confirm { .. } => Record::Confirmed { number },
+                Ask::Cancel { who, .. } => match &fleet.change {
+                    Some(c) => Record::Refused { number: c.number, by: who, why: "taken back".into() },
+                    None => Record::TakenBack { number },
+                },
+            });
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/accord/src/lib.rs
@@ -0,0 +1,68 @@
+//! One policy for a fleet of gateways, without I/O, clock or thread: what the fleet's log says ([`fleet`]), what
+//! its chair does next ([`chair`]), and what a member holds and until when ([`member`]). The promises stand in
+//! `docs/design/fleet.md`.
+
+pub mod chair;
+pub mod fleet;
+pub mod member;
+pub mod record;
+
+pub use chair::Chair;
+pub use fleet::Fleet;
+pub use member::Member;
+pub use record::{Line, Record, Standing};
+
+use ironstair::Ms;
+use serde::{Deserialize, Serialize};
+
+/// What a fleet agrees on.
+pub trait Policy: Clone + PartialEq {
+    /// What is safe beside both, in sum over all gateways; none where nothing is.
+    fn stricter(&self, other: &Self) -> Option<Self>;
+}
+
+/// The least and most that a lease may be, and what it is where it is not told.
+pub const LEASE_LEAST: Ms = 1000.0;
+pub const LEASE_MOST: Ms = 60_000.0;
+pub const LEASE: Ms = 3000.0;
+
+/// A chair counts a lease for this much longer than its member: what two clocks' rates may differ by, and more.
+const DRIFT: f64 = 1.1;
+
+/// Whether a change may be made by what is read of messages: those of a newer kind are refused.
+pub const VERSION: u32 = 1;
+
+/// What a member says of itself, three times a lease and whenever that changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    pub name: String,
+    /// Of this process: drawn at its start.
+    pub start: u64,
+    /// By the member's own clock; comes back with the answer.
+    pub sent: Ms,
+    /// The history that it knows, 0 for none, and what of it the member holds.
+    pub history: u64,
+    pub mark: u64,
+    /// Goes on without a lease.
+    pub steady: bool,
+    /// What it makes of a change that is staged: its number, and why it can't be here.
+    pub examined: Option<(u64, Result<(), String>)>,
+    pub leaving: bool,
+}
+
+/// What the chair says to that, once a quorum has confirmed that it is the chair.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer<D> {
+    pub start: u64,
+    pub sent: Ms,
+    pub history: u64,
+    /// What is to be held; the policy and its revision, where the member does not hold it yet.
+    pub mark: u64,
+    pub hold: Option<(u64, D)>,
+    /// A staged change, to be examined.
+    pub offer: Option<(u64, D)>,
+    /// From when the beat was sent.
+    pub lease: Option<Ms>,
+    /// Why there is no lease, where that is not for the mark alone.
+    pub why: Option<String>,
+}
--- /dev/null
+++ b/crates/accord/src/record.rs
@@ -0,0 +1,76 @@
+//! What the fleet's log is made of. Each record is a step that all keepers agree on; one that does not fit what
+//! stands before it has no effect, so that a chair may write one again whose fate it does not know.
+
+use ironstair::Ms;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Record<D> {
+    /// A history begins, by an operator's word, with what one gateway was told.
+    Begun { history: u64, document: D },
+    /// Members come in with a process, instead of an earlier one of that name, and go.
+    Members { joined: Vec<(String, Seat)>, left: Vec<(String, u64)> },
+    /// Somebody wants a change: it is examined everywhere.
+    Staged(Wish<D>),
+    /// It holds nowhere: a member or an operator has said no.
+    Refused { number: u64, by: String, why: String },
+    /// The stricter of both holds from here.
+    Binding { number: u64 },
+    /// The new one holds from here.
+    Decided { number: u64 },
+    /// What waited to be confirmed stays.
+    Confirmed { number: u64 },
+    /// What waited to be confirmed goes; what ran before it is bound, and then decided anew.
+    TakenBack { number: u64 },
+}
+
+/// A member's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seat {
+    pub start: u64,
+    /// It goes on without a lease: no change is decided without it.
+    pub steady: bool,
+}
+
+/// A change that somebody wants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Wish<D> {
+    /// By which its asker finds it again.
+    pub token: u64,
+    pub who: String,
+    /// Unix time in ms, where it was asked for.
+    pub when: Ms,
+    pub what: String,
+    /// The revision that it was made upon.
+    pub upon: u64,
+    pub document: D,
+    /// To be confirmed under that id within so many ms.
+    pub commit: Option<(String, Ms)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    Staged,
+    Binding,
+    Running,
+    Unconfirmed,
+    Replaced,
+    TakenBack,
+    Refused,
+}
+
+/// One revision as it is shown and remembered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub number: u64,
+    pub token: u64,
+    pub who: String,
+    pub when: Ms,
+    pub what: String,
+    pub standing: Standing,
+    pub commit: Option<String>,
+    /// Who said no, and why.
+    pub refused: Option<(String, String)>,
+}
--- a/crates/gateway/benches/calls.rs
+++ b/crates/gateway/benches/calls.rs
@@ -4,6 +4,8 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
 use common::*;
 use ironstair::logic::Gateway as Module;
 use ironstair::{Cost, Listed, Ms, Outcome, Outlet, Standing, Submission};
@@ -97,8 +99,16 @@
     }
 }
 
-fn gateway_alone() {
-    println!("\n| engines | processor for each call, us | calls a second | resident, KiB |");
+/// A call on one of so many table groups: each has its engines.
+fn ask(c: &mut Client, call: u64, groups: u64) {
+    let bytes = STANDARD.encode(format!("select x from sales_{}.orders", call % groups));
+    c.say(&format!(
+        r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{"id":"{call:016x}","wait":4000,"bytes":"{bytes}"}}}}"#
+    ));
+}
+
+fn gateway_alone(groups: u64) {
+    println!("\nTable groups: {groups}\n\n| engines | processor for each call, us | calls a second | resident, KiB |");
     println!("| --- | --- | --- | --- |");
     for n in SIZES {
         // Eight that answer at once stand behind all names.
@@ -111,7 +121,7 @@
             json!({"name": "lookup", "slo_ns": 1e9, "give_up_ns": 5e9, "semantics": "pure", "worth": 1.0});
         let (mut told, roster) = told(1, json!([class]), &listed);
         told["limits"] = json!({"memory_mb": 512, "sockets": 8192});
-        let gateway = started(&format!("bench-calls-{n}"), told, roster, None);
+        let gateway = started(&format!("bench-calls-{groups}-{n}"), told, roster, None);
         let (mut costs, mut rates) = (Vec::new(), Vec::new());
         for round in 0..ROUNDS as u64 {
             let (before, since) = (processor_us(gateway.process.id()), Instant::now());
@@ -121,11 +131,11 @@
                     thread::spawn(move || {
                         let base = (round * 32 + who) * 1_000_000 + 1;
                         let most = 400;
-                        (0..16).for_each(|k| c.ask(base + k));
+                        (0..16).for_each(|k| ask(&mut c, base + k, groups));
                         for k in 0..most {
                             c.hear();
                             if k + 16 < most {
-                                c.ask(base + k + 16);
+                                ask(&mut c, base + k + 16, groups);
                             }
                         }
                     })
@@ -154,5 +164,5 @@
         return;
     }
     module();
-    gateway_alone();
+    [1, 40, 1000].into_iter().for_each(gateway_alone);
 }
