--- a/crates/keeper/src/store.rs
+++ b/crates/keeper/src/store.rs
@@ -3,6 +3,7 @@
 use protobuf::Message as _;
 use raft::prelude::{ConfState, Entry, HardState, Snapshot};
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// What a disk holds of a keeper, as bytes: the library's own.
@@ -16,7 +17,7 @@
 }
 
 /// One step of a disk, all of it or none.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Save {
     pub hard: Option<Vec<u8>>,
     /// The whole state up to an index: entries up to there are not wanted any more.
@@ -43,6 +44,16 @@
         Image { id, hard: bytes(&hard), whole: bytes(&whole), entries: BTreeMap::new() }
     }
 
+    /// The one step that leads to this image.
+    pub fn step(&self) -> Save {
+        let first = self.entries.keys().next().copied();
+        Save {
+            hard: Some(self.hard.clone()),
+            whole: Some((0, self.whole.clone())),
+            entries: first.map(|first| (first, self.entries.values().cloned().collect())),
+        }
+    }
+
     /// What the disk holds after a step.
     pub fn take(&mut self, save: Save) {
         if let Some(hard) = save.hard {
