--- a/crates/accord/src/chair.rs
+++ b/crates/accord/src/chair.rs
@@ -100,11 +100,6 @@
         seat.steady || now < self.since + self.grace() || heard.is_some_and(|h| h.until > now)
     }
 
-    /// When the member was last heard, and how long its lease runs by the chair's clock.
-    pub fn heard(&self, name: &str) -> Option<(Ms, Ms, u64)> {
-        self.heard.get(name).map(|h| (h.at, h.until, h.mark))
-    }
-
     /// A beat, once a quorum has confirmed this chair since it came.
     pub fn beat(&mut self, now: Ms, fleet: &Fleet<D>, beat: &Beat) -> Answer<D> {
         let known = beat.history == fleet.history;
@@ -211,12 +206,6 @@
         }
     }
 
-    /// When `next` is wanted at the latest.
-    pub fn due(&self, now: Ms) -> Ms {
-        let trial = self.trial.map_or(Ms::INFINITY, |t| t.1);
-        (now + self.lease / 6.0).min(trial)
-    }
-
     /// The log has taken a record, or will never take what was written: the chair looks anew.
     pub fn applied(&mut self) {
         self.written = false;
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -27,17 +27,9 @@
     }
 }
 
-/// The least and most that a lease may be, and what it is where it is not told.
-pub const LEASE_LEAST: Ms = 1000.0;
-pub const LEASE_MOST: Ms = 60_000.0;
-pub const LEASE: Ms = 3000.0;
-
 /// A chair counts a lease for this much longer than its member: what two clocks' rates may differ by, and more.
 const DRIFT: f64 = 1.1;
 
-/// Whether a change may be made by what is read of messages: those of a newer kind are refused.
-pub const VERSION: u32 = 1;
-
 /// What a member says of itself, three times a lease and whenever that changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
