The module learns until when its terms hold; what waits then is turned back at once

Need: a gateway in a fleet may decide only by terms that nobody else has left behind, also when the process was stopped past its lease and no timer has rung. One fact more, looked at at each event before anything is decided: from then on what waits is answered with advice, nothing is forwarded or begun anew, what runs goes on. Infinite but in a fleet; check says not fit without it.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -260,7 +260,7 @@
         }
         let call = call.filter(|c| *c > 0).ok_or((None, rpc::INVALID))?;
         if method == b"check" {
-            self.plain(|m| rpc::fit(m, call, !self.place.of.begun()));
+            self.plain(|m| rpc::fit(m, call, !self.place.of.begun() && self.shared.in_tenure()));
             return Ok(None);
         }
         let bands = self.shared.bands();
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -227,6 +227,8 @@
     cells: Option<Keeper>,
 ) {
     let mut hands = Hands::new(shared, cells);
+    // In a fleet nothing is decided before it has said until when.
+    gateway.tenure(hands.now, hands.shared.tenure.get(), &mut hands);
     loop {
         let Ok(event) = next(&hands.shared.clock, &events, hands.wake).await else { return };
         let now = hands.shared.clock.now();
@@ -270,6 +272,10 @@
             Some(Event::Asked(request)) => match (request, &shown) {
                 (Request::Show, Some(shown)) => show(&gateway, &mut hands, shown),
                 (Request::Amend(to), _) => amend(&mut gateway, &mut hands, *to),
+                (Request::Tenure(until), _) => {
+                    hands.shared.tenure.set(until);
+                    gateway.tenure(now, until, &mut hands);
+                }
                 (Request::Show, None) => {}
             },
         }
@@ -508,6 +514,7 @@
             })),
             links_most: 8,
             listed: Cell::new(0),
+            tenure: Cell::new(Ms::INFINITY),
             log: Logger::root(Discard, o!()),
             module: async_channel::bounded(1).0,
             executor: Rc::new(LocalExecutor::new()),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -157,6 +157,7 @@
         pool: Pool::of((told.memory_mb * 1e6 / 3.0) as usize),
         links_most: told.descriptors / 4,
         listed: Cell::new(0),
+        tenure: Cell::new(f64::INFINITY),
         bands: RefCell::new(Rc::new(bands)),
         longest: Cell::new(longest),
         gauges: Gauges::default(),
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -119,6 +119,8 @@
     /// Connections to all engines, and how many engines there are.
     pub links_most: usize,
     pub listed: Cell<usize>,
+    /// Until when the terms hold; infinite but in a fleet.
+    pub tenure: Cell<Ms>,
     pub gauges: Gauges,
     pub log: Logger,
     pub module: Sender<Event>,
@@ -146,6 +148,11 @@
         self.carriage.borrow().clone()
     }
 
+    /// Whether the terms hold now.
+    pub fn in_tenure(&self) -> bool {
+        self.clock.now() < self.tenure.get()
+    }
+
     /// More work than any client or engine means to tell.
     pub fn work_most(&self) -> Ms {
         WORK_MOST * self.longest.get()
--- a/crates/mail/src/window.rs
+++ b/crates/mail/src/window.rs
@@ -14,6 +14,8 @@
     /// The window is wanted as it is now.
     Show,
     Amend(Box<Amendment>),
+    /// Until when the terms hold, by the gateway's clock: after an amendment that it rests on.
+    Tenure(Ms),
 }
 
 /// Other terms, taken over whole between two events of the module.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,7 @@
 //! Every decision of one gateway, without input or output. How it is called: a host builds a [`Gateway`] from
 //! what it was told at start, then hands over each event by `roster`, `roster_lost`, `take`, `outcome`,
-//! `report`, `progress`, `left` or `due`, by `amend` when its terms change, by `ending` when it will end.
+//! `report`, `progress`, `left` or `due`, by `amend` when its terms change, by `tenure` when it is known how
+//! long they hold, by `ending` when it will end.
 //! Each call notes what is new and goes through `RULES` in order, from the top again after one that fired,
 //! until none does. Actions leave through [`Outlet`] at once. lib.rs has that and the types that cross;
 //! door.rs makes the indices used here.
@@ -172,11 +173,13 @@
     asks: bool,
     share: f64, // of all engines in use: own threads, for as many gateways
     wake_at: Ms,
+    until: Ms, // the terms hold; infinite where nobody else may change them
     subscribe_at: Option<Ms>,
 }
 
-const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 8] = [
+const RULES: [fn(&mut Gateway, &mut dyn Outlet) -> bool; 9] = [
     Gateway::ask_for_the_roster,
+    Gateway::give_up_without_tenure,
     Gateway::answer_at_the_hard_limit,
     Gateway::count_the_overdue,
     Gateway::set_aside,
@@ -189,7 +192,7 @@
 impl Gateway {
     pub fn new(m: Mandate, seed: u64) -> Self {
         let (chance, subscribe_at) = (Pcg(seed), m.must_subscribe.then_some(0.0));
-        let mut new = Gateway { chance, subscribe_at, ..Default::default() };
+        let mut new = Gateway { chance, subscribe_at, until: Ms::INFINITY, ..Default::default() };
         new.adopt(m);
         new
     }
@@ -400,6 +403,11 @@
         self.due(now, out);
     }
 
+    pub fn tenure(&mut self, now: Ms, until: Ms, out: &mut dyn Outlet) {
+        self.until = until;
+        self.due(now, out);
+    }
+
     pub fn due(&mut self, now: Ms, out: &mut dyn Outlet) {
         self.now = now;
         while RULES.iter().any(|rule| rule(self, out)) {}
@@ -409,6 +417,12 @@
         self.subscribe_at.take_if(|t| *t <= self.now).map(|_| out.subscribe()).is_some()
     }
 
+    // Against terms that others have left behind: what waits is answered at once, what runs goes on.
+    fn give_up_without_tenure(&mut self, out: &mut dyn Outlet) -> bool {
+        let waits = self.bands.iter().flat_map(|b| &b.line).next().copied();
+        waits.filter(|_| self.now >= self.until).is_some_and(|s| self.end(s, self.m.come_back_most, out))
+    }
+
     // Against a last outcome that never comes, and answers that cross the client's leaving.
     fn answer_at_the_hard_limit(&mut self, out: &mut dyn Outlet) -> bool {
         let mut held = self.bands.iter().flat_map(|b| &b.line).chain(&self.flying).copied();
@@ -585,7 +599,8 @@
     }
 
     fn may_begin_anew(&self, s: &Taken) -> bool {
-        self.m.may_withdraw && s.open && self.may_forward_again(s) && self.rationed()
+        let may = self.m.may_withdraw && s.open && self.now < self.until;
+        may && self.may_forward_again(s) && self.rationed()
     }
 
     fn in_window(&self, s: &Taken) -> bool {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -268,6 +268,27 @@
     assert!(sheet.0.contains(&Act::TurnBack(0, 0.0)), "{:?}", sheet.0);
 }
 
+#[test]
+fn what_waits_is_answered_at_once_when_the_terms_hold_no_longer_and_what_runs_goes_on() {
+    let mut g = start(Mandate { come_back_most: 700.0, may_withdraw: true, ..two_bands() }, 1);
+    let now = press(&mut g, 0..8);
+    // Against deciding by terms that others have left behind while this process stood still: no timer has rung.
+    g.tenure(now, now + 100.0, &mut Sheet::default());
+    let sent: Vec<usize> = (0..20).flat_map(|i| send(&mut g, now, i, ask(0, 100.0))).map(|f| f.0).collect();
+    assert!((1..20).contains(&sent.len()), "{sent:?} run, the rest wait");
+    let mut sheet = Sheet::default();
+    g.take(now + 100.0, 20, ask(0, 100.0), &mut sheet);
+    let back =
+        |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(_, back) if *back == 700.0)).count();
+    assert_eq!((sheet.forwards().len(), back(&sheet)), (0, 21 - sent.len()), "{:?}", sheet.0);
+    // A forward that is lost goes nowhere else: its client hears of it now.
+    let mut sheet = Sheet::default();
+    g.outcome(now + 101.0, sent[0], Outcome::Error, false, &mut sheet);
+    assert_eq!((sheet.forwards().len(), back(&sheet)), (0, 1), "{:?}", sheet.0);
+    g.tenure(now + 102.0, now + 200.0, &mut Sheet::default());
+    assert_eq!(send(&mut g, now + 103.0, 30, ask(0, 100.0)).len(), 1, "it goes on with new tenure");
+}
+
 #[test]
 fn a_tighter_figure_of_a_rule_binds_at_once_and_a_looser_one_sets_free_nothing_counted_before() {
     let mut m = two_bands();
