--- a/crates/accord/src/chair.rs
+++ b/crates/accord/src/chair.rs
@@ -5,7 +5,9 @@
 use crate::record::{Record, Seat, Wish};
 use crate::{Answer, Beat, Policy, DRIFT};
 use ironstair::Ms;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// A member that was not heard for so many leases is taken out of the log's list.
 const FORGOTTEN: f64 = 10.0;
@@ -15,7 +17,7 @@
 const SEATED_AT_ONCE: usize = 256;
 
 /// What an operator asks for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask<D> {
     Change(Wish<D>),
     Confirm {
@@ -34,7 +36,7 @@
     NotBegun,
     /// One is under way, or waits to be confirmed.
     UnderWay { number: u64, who: String },
-    /// It was made upon a revision that runs no more.
+    /// It was made upon what runs no more.
     Outdated { runs: u64 },
     /// Nothing is safe beside both.
     Apart,
@@ -44,6 +46,25 @@
     Busy,
 }
 
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Refusal::NotBegun => f.write_str("the fleet has no history, or no chair, yet"),
+            Refusal::UnderWay { number, who } => {
+                write!(f, "revision {number} by {who} is under way, or waits to be confirmed")
+            }
+            Refusal::Outdated { runs } => {
+                write!(f, "revision {runs} runs by now, and the change was made upon another: look, and ask again")
+            }
+            Refusal::Apart => f.write_str(
+                "nothing is safe beside what runs and what is asked for, or this version can't read it: make it in two changes",
+            ),
+            Refusal::Nothing => f.write_str("nothing of the kind waits: it was confirmed or taken back already"),
+            Refusal::Busy => f.write_str("too many changes wait"),
+        }
+    }
+}
+
 /// What one member said in this term.
 #[derive(Clone, Debug, PartialEq)]
 struct Heard {
@@ -157,6 +178,26 @@
         answer
     }
 
+    /// What this chair knows of a member: when it was last heard, what it holds, until when its lease may run.
+    pub fn seen(&self, name: &str) -> Option<(Ms, u64, Ms)> {
+        self.heard.get(name).map(|h| (h.at, h.mark, h.until))
+    }
+
+    /// Whether a member has said what it makes of a change.
+    pub fn examined(&self, name: &str, number: u64) -> bool {
+        self.heard.get(name).is_some_and(|h| h.examined.as_ref().is_some_and(|e| e.0 == number))
+    }
+
+    /// Whether all that may still decide hold what is to be held.
+    pub fn all_hold(&self, now: Ms, fleet: &Fleet<D>) -> bool {
+        self.all(now, fleet, |h| h.mark == fleet.mark)
+    }
+
+    /// Whether an ask still waits for the log, or something does that may be it.
+    pub fn waits(&self, ask: &Ask<D>) -> bool {
+        self.written || self.asks.contains(ask)
+    }
+
     /// Takes an ask to be written to the log.
     ///
     /// # Errors
@@ -185,7 +226,7 @@
                     let who = line.map(|l| l.who.clone()).unwrap_or_default();
                     return Err(Refusal::UnderWay { number, who });
                 }
-                if wish.upon != *runs {
+                if wish.upon != fleet.mark {
                     return Err(Refusal::Outdated { runs: *runs });
                 }
                 running.stricter(&wish.document).map(drop).ok_or(Refusal::Apart)
--- a/crates/accord/src/fleet.rs
+++ b/crates/accord/src/fleet.rs
@@ -58,12 +58,14 @@
 }
 
 impl<D: Policy> Fleet<D> {
-    /// What every member is to hold now, and its revision's number.
+    /// What every member is to hold now, and its revision's number. None where this version can't read what is
+    /// to come: a chair that can't tell what is safe beside both tells nobody anything.
     pub fn held(&self) -> Option<(u64, D)> {
         let (number, running) = self.running.as_ref()?;
-        let bound = self.change.as_ref().filter(|c| c.step == Step::Binding);
-        let both = bound.and_then(|c| running.stricter(&c.document));
-        Some((*number, both.unwrap_or_else(|| running.clone())))
+        match self.change.as_ref().filter(|c| c.step == Step::Binding) {
+            Some(change) => Some((*number, running.stricter(&change.document)?)),
+            None => Some((*number, running.clone())),
+        }
     }
 
     /// The change of that number at that step.
@@ -131,8 +133,7 @@
     }
 
     fn stage(&mut self, wish: Wish<D>) -> bool {
-        let upon = self.running.as_ref().is_some_and(|r| r.0 == wish.upon);
-        if !upon || self.change.is_some() || self.trial.is_some() {
+        if self.running.is_none() || self.mark != wish.upon || self.change.is_some() || self.trial.is_some() {
             return false;
         }
         let (number, Wish { token, who, when, what, document, commit, .. }) = (self.next, wish);
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -42,7 +42,7 @@
     /// Unix time in ms, where it was asked for.
     pub when: Ms,
     pub what: String,
-    /// The revision that it was made upon.
+    /// The mark that its asker held: what it was made of is what runs, not the stricter of two.
     pub upon: u64,
     pub document: D,
     /// To be confirmed under that id within so many ms.
--- a/crates/archive/src/lib.rs
+++ b/crates/archive/src/lib.rs
@@ -182,6 +182,16 @@
         self.anew().inspect_err(|_| (self.owner.id, self.image) = was)
     }
 
+    /// Puts aside what the disk holds, and begins blank under `number`; where it lies now.
+    ///
+    /// # Errors
+    /// As the disk has it.
+    pub fn put_aside(&mut self, number: u64) -> Result<String, String> {
+        let path = self.folder.join(FILE);
+        let aside = put_aside(&self.folder, &path).map_err(|e| format!("{}: {e}", path.display()))?;
+        self.begin(Image::blank(number)).map(|()| aside)
+    }
+
     /// Brings a step to the disk, all of it or none.
     ///
     /// # Errors
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -51,7 +51,9 @@
     /// Moves a tenant to other cells under traffic
     Move(user::Move),
     /// Shows the last changes of the settings, who made them and what became of them
-    Revisions(user::Listed),
+    Revisions(user::Revisions),
+    /// Shows the fleet: who is in it, which revision holds, who lacks what; or begins its history
+    Fleet(user::Fleet),
     /// Prints the version
     Version,
 }
@@ -92,10 +94,14 @@
     let (bands, engines) = (t.bands.len(), t.known.len());
     println!("{}: {bands} bands, {engines} engines, listens on {}", t.name, t.listen);
     let Some(o) = operator else { return Ok(()) };
-    if let Some(m) = o.management {
-        management::fits(&t, o.cells.as_ref())?;
+    if let Some(m) = &o.management {
+        management::fits(&t, &o)?;
         println!("management: gNMI on {}", m.listen);
     }
+    if let Some(f) = &o.fleet {
+        let part = if f.keepers.contains_key(&t.name) { "a keeper" } else { "a member" };
+        println!("fleet: {part} of {}, on {}", f.name, f.listen);
+    }
     Ok(())
 }
 
@@ -126,6 +132,7 @@
         Job::Cells(l) => user::run(user::cells(l)),
         Job::Move(m) => user::run(user::move_tenant(m)),
         Job::Revisions(l) => user::run(user::revisions(l)),
+        Job::Fleet(f) => user::run(user::fleet(f)),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -1,7 +1,7 @@
 //! Management on a thread of its own: a busy reader costs the gateway's thread no more than the view it asks for.
 
 use crate::log::Least;
-use crate::operator::{self, Cells, Management, Tls};
+use crate::operator::{self, Management, Operator, Tls};
 use async_channel::{Receiver, Sender};
 use ironstair::Ms;
 use ironstair_gnmi::keys::Files;
@@ -11,7 +11,9 @@
 use ironstair_mail::clock::Clock;
 use ironstair_mail::window::{Request, Told, Window};
 use ironstair_mail::Event;
-use ironstair_manage::{Manager, Started};
+use ironstair_manage::fleet::Fleetward;
+use ironstair_manage::{Around, Manager, Started};
+use ironstair_muster::{actor, Actor, Leave};
 use slog::{error, info, Logger};
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -22,27 +24,39 @@
 /// Asks for the keys to be read anew.
 pub type Renew = tokio::sync::mpsc::Sender<()>;
 
+/// The ends that the gateway's thread holds.
+pub struct Running {
+    pub asked: Receiver<Request>,
+    pub renew: Renew,
+    /// In a fleet: by which it is told that this process ends.
+    pub leave: Option<Leave>,
+}
+
 /// Opened before anything serves; started once the gateway's thread runs.
 pub struct Opened {
     started: Started,
     bound: TcpListener,
     streams: usize,
     keys: Option<Arc<Keys>>,
+    fleet: Option<actor::Opened>,
     pub window: Arc<Window>,
 }
 
 /// Reads what is kept and binds the listener.
 ///
 /// # Errors
-/// The settings do not fit the tree, the folder can't be read, or the address is not free.
-pub fn open(m: &Management, told: &crate::told::Told, cells: Option<&Cells>) -> Result<Opened, String> {
-    let (mandate, state, cells) = (told.mandate.clone(), m.state.as_deref(), cells.map(operator::cells));
+/// The settings do not fit the tree, a folder can't be read, or an address is not free.
+pub fn open(m: &Management, told: &crate::told::Told, of: &Operator) -> Result<Opened, String> {
+    let cells = of.cells.as_ref().map(operator::cells);
+    let (mandate, state) = (told.mandate.clone(), m.state.as_deref());
+    let charter = of.fleet.as_ref().map(|f| operator::charter(f, &told.name)).transpose()?;
     let started =
         ironstair_manage::open(mandate, &told.bands, &told.limits, told.index.clone(), cells, state)?;
     let keys = m.tls.as_ref().map(|t| Keys::open(files(t))).transpose();
     let keys = keys.map_err(|why| format!("management.tls: {why}"))?;
     let (bound, streams) = (serve::bind(m.listen)?, m.streams);
-    Ok(Opened { started, bound, streams, keys, window: Arc::default() })
+    let fleet = charter.map(actor::Opened::open).transpose()?;
+    Ok(Opened { started, bound, streams, keys, fleet, window: Arc::default() })
 }
 
 fn files(t: &Tls) -> Files {
@@ -58,8 +72,9 @@
 ///
 /// # Errors
 /// It does not fit the tree; the sentence names the field.
-pub fn fits(told: &crate::told::Told, cells: Option<&Cells>) -> Result<(), String> {
-    let cells = cells.map(operator::cells);
+pub fn fits(told: &crate::told::Told, of: &Operator) -> Result<(), String> {
+    of.fleet.as_ref().map(|f| operator::charter(f, &told.name)).transpose()?;
+    let cells = of.cells.as_ref().map(operator::cells);
     ironstair_manage::open(told.mandate.clone(), &told.bands, &told.limits, told.index.clone(), cells, None)
         .map(drop)
 }
@@ -77,31 +92,47 @@
         self.started.bands()
     }
 
-    /// Starts the thread; what it asks of the gateway's comes by the mailbox returned, and the sender asks it to
-    /// read its keys anew.
+    /// Whether nothing may be decided before a fleet has said so.
+    pub fn in_fleet(&self) -> bool {
+        self.fleet.is_some()
+    }
+
+    /// Starts the thread; what it asks of the gateway's comes by the mailbox returned.
     ///
     /// # Errors
     /// The thread can't be started.
-    pub fn start(
-        self,
-        name: &str,
-        clock: Clock,
-        log: Logger,
-        level: Least,
-    ) -> Result<(Receiver<Request>, Renew), String> {
+    pub fn start(self, name: &str, clock: Clock, log: Logger, level: Least) -> Result<Running, String> {
         let (requests, asked) = async_channel::bounded(MAILBOX);
         let (renew, word) = tokio::sync::mpsc::channel(1);
         let on = self.bound.local_addr().map_err(|e| e.to_string())?;
         info!(log, "management is served"; "on" => on);
         let (name, said) = (name.to_string(), log.clone());
+        let (leaves, leave) = std::sync::mpsc::channel();
+        let in_fleet = self.fleet.is_some();
         let serve = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| e.to_string())?;
-            let (manager, desk) =
-                Manager::new(self.started, &name, clock, self.window, requests, log.clone(), level);
-            let service = Service::new(desk, &name, self.streams);
+            let (wanted, wants) = tokio::sync::mpsc::channel(MAILBOX);
+            let (shown, shows) = tokio::sync::watch::channel(Default::default());
+            let fleet = self.fleet.as_ref().map(|_| Fleetward { wanted, shown: shows });
+            let around = Around {
+                clock,
+                window: self.window,
+                requests: requests.clone(),
+                log: log.clone(),
+                level,
+                fleet,
+            };
+            let (manager, desk) = Manager::new(self.started, &name, around);
+            let service = Service::new(desk.clone(), &name, self.streams);
             runtime.block_on(async {
                 tokio::spawn(manager.run());
+                if let Some(opened) = self.fleet {
+                    let ends = actor::Ends { wanted: wants, shown };
+                    let (actor, leave) = Actor::start(opened, ends, desk, requests, clock, log.clone())?;
+                    let _ = leaves.send(leave);
+                    tokio::spawn(actor.run());
+                }
                 serve::serve(self.bound, service, self.keys, word, log).await
             })
         };
@@ -111,7 +142,8 @@
             }
         };
         std::thread::Builder::new().name("management".into()).spawn(work).map_err(|e| e.to_string())?;
-        Ok((asked, renew))
+        let leave = if in_fleet { leave.recv().ok() } else { None };
+        Ok(Running { asked, renew, leave })
     }
 }
 
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -3,6 +3,7 @@
 use ironstair_cells::Keeper;
 use ironstair_change::{Cell, Decimal, EnginePin, TenantPin};
 use ironstair_mail::number;
+use ironstair_muster::Charter;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -17,6 +18,60 @@
     pub management: Option<Management>,
     /// Tenants confined to a part of the engines.
     pub cells: Option<Cells>,
+    /// One policy with the other gateways of a fleet; needs management, and no state folder there.
+    pub fleet: Option<Fleet>,
+}
+
+/// This gateway's part in a fleet. Its name there is the one that it is told at start.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The fleet's name: gateways of another are not listened to.
+    pub name: String,
+    /// Address and port for the other gateways, on a closed network: who reaches it is believed.
+    pub listen: SocketAddr,
+    /// The 3 or 5 gateways that keep the fleet's log, and where each is reached from here.
+    pub keepers: BTreeMap<String, SocketAddr>,
+    /// How long, in ms, a gateway may decide by what it last heard.
+    #[serde(default = "lease")]
+    #[schemars(range(min = 1000, max = 60000))]
+    pub lease_ms: u32,
+    /// What becomes of this gateway when it hears nothing for a lease.
+    #[serde(default)]
+    pub cut_off: CutOff,
+    /// A keeper's folder for the log; only for keepers.
+    pub state: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum CutOff {
+    /// It turns back all that is new or waits until it is heard again.
+    #[default]
+    Strict,
+    /// It goes on by what it holds, and no change of the fleet's policy is decided without it.
+    Steady,
+}
+
+fn lease() -> u32 {
+    3000
+}
+
+/// The section, checked, for the gateway of that name.
+///
+/// # Errors
+/// What can't be, by its field.
+pub fn charter(f: &Fleet, name: &str) -> Result<Charter, String> {
+    let charter = Charter {
+        fleet: f.name.clone(),
+        name: name.to_string(),
+        listen: f.listen,
+        keepers: f.keepers.clone(),
+        lease: f.lease_ms as f64,
+        steady: f.cut_off == CutOff::Steady,
+        folder: f.state.clone(),
+    };
+    charter.checked()
 }
 
 /// Cells; every gateway of a fleet is to be told the same.
@@ -150,6 +205,15 @@
     if let Some(c) = &found.cells {
         keeper(c)?;
     }
+    match (&found.fleet, &found.management) {
+        (Some(_), None) => {
+            return Err("fleet: it is shown and changed by management, which is missing".into())
+        }
+        (Some(_), Some(m)) if m.state.is_some() => {
+            return Err("management.state: in a fleet the keepers keep the revisions".into());
+        }
+        _ => {}
+    }
     if let Some(m) = &found.management {
         if m.tls.is_none() && !m.listen.ip().is_loopback() {
             return Err(format!(
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -36,6 +36,8 @@
 const MAILBOX: usize = 1024;
 /// Descriptors that room is made for at the start: half a megabyte of the kernel's memory.
 const ROOM_MOST: usize = 1 << 16;
+/// How long the fleet may take to hear that this process ends.
+const LEAVE_WITHIN: f64 = 80.0;
 /// Without a free descriptor: how long until the next try.
 const NO_DESCRIPTOR: f64 = 20.0;
 
@@ -44,12 +46,20 @@
     shared.longest.get().min(AT_MOST) + KILLED_AFTER - LAST_WORDS
 }
 
+/// Where other settings come from while the process serves.
+#[derive(Clone, Copy)]
+enum Settings {
+    File,
+    Management,
+    Fleet,
+}
+
 /// What signals say, for as long as the process lives: also in a drain, none of them ends it at once.
 async fn heed(
     mut signals: Signals,
     told: PathBuf,
     moves: Sender<Moved>,
-    renew: Option<management::Renew>,
+    (renew, settings): (Option<management::Renew>, Settings),
     mut renewal: Renewal,
     places: Rc<Places>,
     shared: Rc<Shared>,
@@ -73,11 +83,17 @@
                 };
                 // What the carrying alone goes by may change as well.
                 if new.is_some() || told.carriage != *shared.carriage() {
-                    if renew.is_some() {
-                        warn!(log, "settings come by management, those of the file are not taken over");
-                    } else {
-                        renewal = new.unwrap_or(renewal);
-                        take_over(&renewal, told.carriage.clone(), &shared).await;
+                    match settings {
+                        Settings::File => {
+                            renewal = new.unwrap_or(renewal);
+                            take_over(&renewal, told.carriage.clone(), &shared).await;
+                        }
+                        Settings::Management => {
+                            warn!(log, "settings come by management, those of the file are not taken over");
+                        }
+                        Settings::Fleet => {
+                            warn!(log, "settings are the fleet's, those of the file are not taken over: ironstair set --fleet");
+                        }
                     }
                 }
                 told.under(renewal.frame());
@@ -128,7 +144,10 @@
     let file = told.file();
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
     let cells = operator.as_ref().and_then(|o| o.cells.as_ref());
-    let management = management.map(|m| management::open(m, &told, cells)).transpose()?;
+    let management = match (management, &operator) {
+        (Some(m), Some(of)) => Some(management::open(m, &told, of)?),
+        _ => None,
+    };
     let cells = match &management {
         Some(m) => m.cells(),
         None => cells.map(operator::keeper).transpose()?,
@@ -157,7 +176,12 @@
         pool: Pool::of((told.memory_mb * 1e6 / 3.0) as usize),
         links_most: told.descriptors / 4,
         listed: Cell::new(0),
-        tenure: Cell::new(f64::INFINITY),
+        // In a fleet nothing is decided before that has said until when.
+        tenure: Cell::new(if management.as_ref().is_some_and(|m| m.in_fleet()) {
+            0.0
+        } else {
+            f64::INFINITY
+        }),
         bands: RefCell::new(Rc::new(bands)),
         longest: Cell::new(longest),
         gauges: Gauges::default(),
@@ -179,12 +203,17 @@
             kinds: told.index.kinds.iter().map(|n| n.as_str().into()).collect(),
         });
         executor.spawn(decide(gateway, shared.clone(), events, shown, cells)).detach();
-        let mut renew = None;
+        let (mut renew, mut leave) = (None, None);
         if let Some(m) = management {
-            let (asked, word) = m.start(&told.name, shared.clock, log.clone(), level)?;
-            renew = Some(word);
-            executor.spawn(management::carry(asked, module.clone())).detach();
+            let running = m.start(&told.name, shared.clock, log.clone(), level)?;
+            (renew, leave) = (Some(running.renew), running.leave);
+            executor.spawn(management::carry(running.asked, module.clone())).detach();
         }
+        let settings = match (&renew, &leave) {
+            (None, _) => Settings::File,
+            (Some(_), None) => Settings::Management,
+            (Some(_), Some(_)) => Settings::Fleet,
+        };
         let (from, names, index, rev) = (told.listen.ip(), told.names, told.index, told.rev);
         let (moves, moved) = async_channel::bounded(1);
         let list = List { from, names, index, rev, module, log: log.clone(), shared: shared.clone() };
@@ -193,7 +222,8 @@
         shared.gauges.serial.set(told.rev);
         shared.gauges.connections_most.set((told.descriptors / 2) as u32);
         let places = Places::new(told.descriptors / 2, shared.gauges.connections.clone());
-        let heeded = heed(signals, path.into(), moves, renew, renewal, places.clone(), shared.clone());
+        let heeded =
+            heed(signals, path.into(), moves, (renew, settings), renewal, places.clone(), shared.clone());
         executor.spawn(heeded).detach();
         info!(log, "serving"; "on" => told.listen);
 
@@ -221,6 +251,16 @@
         let most = Timer::after(span(left(&shared) + LAST_WORDS / 2.0 - CLIENTS_COME_FOR));
         or(places.until_empty(), async { _ = most.await }).await;
         info!(log, "all is answered");
+        if let Some(leave) = leave {
+            // Who says so needs no lease to run out before its fleet goes on without it.
+            let (done, told) = tokio::sync::oneshot::channel();
+            let said = leave.try_send(ironstair_muster::actor::Mail::Leave(done)).is_ok();
+            let most = async {
+                Timer::after(span(LEAVE_WITHIN)).await;
+            };
+            or(async { drop(told.await) }, most).await;
+            info!(log, "left the fleet"; "said" => said);
+        }
         Ok(())
     }))
 }
--- a/crates/gateway/src/user.rs
+++ b/crates/gateway/src/user.rs
@@ -4,6 +4,7 @@
 use ironstair_gnmi::proto::gnmi::g_nmi_client::GNmiClient;
 use ironstair_gnmi::proto::gnmi::{self, subscribe_request, subscribe_response, typed_value, TypedValue};
 use ironstair_gnmi::proto::gnmi_ext::{self, commit::Action, extension::Ext, Commit, Extension};
+use ironstair_gnmi::FLEET;
 use ironstair_tree::path::{key_name, Wanted};
 use ironstair_tree::{Pattern, Schema};
 use serde_json::{json, Value as Json};
@@ -68,6 +69,9 @@
     /// Under which it is confirmed; made up where it is missing
     #[arg(long, requires = "confirm_within")]
     id: Option<String>,
+    /// At every gateway of the fleet or at none
+    #[arg(long)]
+    fleet: bool,
     #[command(flatten)]
     at: At,
 }
@@ -76,6 +80,9 @@
 pub struct Trial {
     /// As told by `set --confirm-within`; the one that waits where it is missing
     id: Option<String>,
+    /// Of the fleet's change
+    #[arg(long)]
+    fleet: bool,
     #[command(flatten)]
     at: At,
 }
@@ -102,10 +109,36 @@
     /// Takes the move back by itself unless confirmed in time, as 2m
     #[arg(long, value_name = "TIME")]
     confirm_within: Option<Span>,
+    /// At every gateway of the fleet or at none
+    #[arg(long)]
+    fleet: bool,
+    #[command(flatten)]
+    at: At,
+}
+
+#[derive(clap::Args)]
+pub struct Revisions {
+    /// Those of the fleet
+    #[arg(long)]
+    fleet: bool,
     #[command(flatten)]
     at: At,
 }
 
+#[derive(clap::Args)]
+pub struct Fleet {
+    #[command(subcommand)]
+    what: Option<FleetWhat>,
+    #[command(flatten)]
+    at: At,
+}
+
+#[derive(clap::Subcommand)]
+enum FleetWhat {
+    /// Begins the fleet's history with what this gateway was told, once, at the first keeper by name
+    Begin,
+}
+
 #[derive(clap::Args)]
 pub struct Listed {
     #[command(flatten)]
@@ -326,6 +359,7 @@
         let rollback_duration = Some(span(within));
         request.extension = commit(id.clone(), Action::Commit(gnmi_ext::CommitRequest { rollback_duration }));
     }
+    request.prefix = prefix(s.fleet);
     client(&s.at).await?.set(request).await?;
     match (s.at.json, s.confirm_within) {
         (true, within) => say(&json!({"changed": true, "confirm": within.map(|_| id)}).to_string()),
@@ -337,6 +371,10 @@
 pub async fn trial(t: Trial, action: Action) -> Done {
     let id = match t.id {
         Some(id) => id,
+        None if t.fleet => {
+            let waits = fleet_shown(&t.at).await?["unconfirmed"].as_str().map(String::from);
+            waits.ok_or_else(|| Failed("nothing waits to be confirmed".into(), 3))?
+        }
         None => {
             let all = read(&t.at, "/state/revision[number=*]", gnmi::Encoding::JsonIetf).await?;
             let all: Vec<Json> = all.iter().map(|u| value(u.val.as_ref())).collect();
@@ -347,7 +385,8 @@
         }
     };
     let done = if matches!(action, Action::Confirm(_)) { "confirmed" } else { "taken back" };
-    let request = gnmi::SetRequest { extension: commit(id, action), ..Default::default() };
+    let extension = commit(id, action);
+    let request = gnmi::SetRequest { prefix: prefix(t.fleet), extension, ..Default::default() };
     client(&t.at).await?.set(request).await?;
     say(&if t.at.json { json!({"done": done}).to_string() } else { done.to_string() })
 }
@@ -364,10 +403,88 @@
         format!("/settings/cells/tenant[name={}]/cell", m.tenant.replace('\\', "\\\\").replace(']', "\\]"));
     let value = Some(json!(m.cells).to_string());
     let (replace, delete, id) = (true, false, None);
-    set(Set { path, value, replace, delete, confirm_within: m.confirm_within, id, at: m.at }).await
+    set(Set { path, value, replace, delete, confirm_within: m.confirm_within, id, fleet: m.fleet, at: m.at })
+        .await
 }
 
-pub async fn revisions(l: Listed) -> Done {
+/// The tree that is meant: the fleet's, or this gateway's.
+fn prefix(fleet: bool) -> Option<gnmi::Path> {
+    fleet.then(|| gnmi::Path { origin: FLEET.into(), ..Default::default() })
+}
+
+async fn fleet_shown(at: &At) -> Result<Json, Failed> {
+    let request = gnmi::GetRequest { prefix: prefix(true), ..Default::default() };
+    let answer = client(at).await?.get(request).await?.into_inner();
+    let updates = answer.notification.into_iter().flat_map(|n| n.update);
+    let shown = updates.map(|u| value(u.val.as_ref())).next();
+    shown.ok_or_else(|| Failed("the gateway tells nothing of its fleet".into(), 1))
+}
+
+pub async fn fleet(f: Fleet) -> Done {
+    if let Some(FleetWhat::Begin) = f.what {
+        let yes = typed_value::Value::JsonIetfVal(b"true".to_vec());
+        let val = Some(TypedValue { value: Some(yes) });
+        let update = vec![gnmi::Update { path: Some(path("/begin")?), val, duplicates: 0 }];
+        let request = gnmi::SetRequest { prefix: prefix(true), update, ..Default::default() };
+        client(&f.at).await?.set(request).await?;
+        return say(if f.at.json { r#"{"begun":true}"# } else { "begun" });
+    }
+    let shown = fleet_shown(&f.at).await?;
+    if f.at.json {
+        return say(&format!("{shown:#}"));
+    }
+    let names = |of: &Json| plain(of);
+    let mut text = format!(
+        "revision {}, chair {}, keepers {}
+",
+        plain(&shown["revision"]),
+        plain(&shown["chair"]),
+        names(&shown["keepers"])
+    );
+    if !shown["change"].is_null() {
+        let c = &shown["change"];
+        let _ = writeln!(
+            text,
+            "revision {} is {}, waits for {}",
+            plain(&c["number"]),
+            plain(&c["step"]),
+            names(&c["waits-for"])
+        );
+    }
+    if !shown["unconfirmed"].is_null() {
+        let _ = writeln!(text, "to be confirmed: {}", plain(&shown["unconfirmed"]));
+    }
+    text +=
+        &rows(&shown["members"], &["name", "cut-off", "heard-ms-ago", "lease-left-ms", "holds-what-is-held"]);
+    say(&text)
+}
+
+/// Objects as a table of these fields.
+fn rows(all: &Json, columns: &[&str]) -> String {
+    let cell = |row: &Json, c: &str| match &row[c] {
+        Json::Null => "-".to_string(),
+        v => plain(v),
+    };
+    let all = all.as_array().cloned().unwrap_or_default();
+    let mut text = String::new();
+    let wide = |c: &str| all.iter().map(|r| cell(r, c).chars().count()).max().unwrap_or(0).max(c.len());
+    let mut line = |cells: Vec<String>| {
+        let padded = cells.iter().zip(columns).map(|(v, c)| format!("{v:<0$}", wide(c)));
+        let _ = writeln!(text, "{}", padded.collect::<Vec<_>>().join("  ").trim_end());
+    };
+    line(columns.iter().map(|c| c.to_string()).collect());
+    all.iter().for_each(|r| line(columns.iter().map(|c| cell(r, c)).collect()));
+    text
+}
+
+pub async fn revisions(l: Revisions) -> Done {
+    if l.fleet {
+        let shown = fleet_shown(&l.at).await?;
+        if l.at.json {
+            return say(&format!("{:#}", shown["revisions"]));
+        }
+        return say(&rows(&shown["revisions"], &["number", "outcome", "who", "what", "refused-by", "why"]));
+    }
     match get(Get { path: "/state/revision[number=*]".into(), at: l.at }).await {
         Err(Failed(_, 5)) => Ok(()),
         other => other,
--- a/crates/gnmi/src/lib.rs
+++ b/crates/gnmi/src/lib.rs
@@ -13,6 +13,7 @@
 mod words;
 
 pub use service::{Service, Who};
+pub use words::FLEET;
 
 /// The messages and the service, from `proto/`.
 pub mod proto {
--- a/crates/gnmi/src/service.rs
+++ b/crates/gnmi/src/service.rs
@@ -8,7 +8,7 @@
 use crate::words::{self, Written};
 use ironstair::Ms;
 use ironstair_change::revisions::{confirm_within, Ask, Refusal};
-use ironstair_manage::{Desk, Refused};
+use ironstair_manage::{Desk, Refused, Scope};
 use ironstair_tree::leaves::{nodes, select};
 use ironstair_tree::path::Wanted;
 use ironstair_tree::{Edit, Pattern};
@@ -70,6 +70,7 @@
         }
         Refused::Not(Refusal::NotKept { .. }) => Status::resource_exhausted(text),
         Refused::Not(Refusal::Busy) => Status::aborted(text),
+        Refused::Fleet(_) => Status::failed_precondition(text),
         Refused::Ending => Status::unavailable(text),
     }
 }
@@ -139,6 +140,14 @@
 
     async fn get(&self, request: Request<gnmi::GetRequest>) -> Result<Response<gnmi::GetResponse>, Status> {
         let r = request.into_inner();
+        if words::scope(r.prefix.as_ref()) == Scope::Fleet {
+            // What the chair knows, whole.
+            let shown = self.desk.show().await.map_err(|why| refused(&why))?;
+            let (path, val) = (Some(gnmi::Path::default()), Some(Written::JsonIetf.json(&shown)));
+            let update = vec![gnmi::Update { path, val, duplicates: 0 }];
+            let notification = vec![gnmi::Notification { prefix: r.prefix, update, ..Default::default() }];
+            return Ok(Response::new(gnmi::GetResponse { notification, extension: Vec::new() }));
+        }
         let written = Written::of(r.encoding)?;
         let kind = DataType::try_from(r.r#type)
             .map_err(|_| Status::invalid_argument(format!("type {} is unknown", r.r#type)))?;
@@ -197,8 +206,15 @@
             return Err(Status::permission_denied(format!("{} may read, not change", who.name)));
         }
         let r = request.into_inner();
-        let prefix = r.prefix.as_ref();
+        let scope = words::scope(r.prefix.as_ref());
+        let prefix = r.prefix.clone().map(words::without_scope);
+        let prefix = prefix.as_ref();
         let (commit, master) = extensions(&r.extension)?;
+        let begin = |u: &gnmi::Update| u.path.as_ref().is_some_and(words::is_begin);
+        if scope == Scope::Fleet && r.update.iter().any(begin) {
+            self.desk.begin().await.map_err(|why| refused(&why))?;
+            return Ok(Response::new(gnmi::SetResponse { prefix: r.prefix.clone(), ..Default::default() }));
+        }
         if r.delete.len() + r.replace.len() + r.update.len() + r.union_replace.len() > PATHS_MOST {
             return Err(Status::invalid_argument(format!("more than {PATHS_MOST} paths")));
         }
@@ -242,7 +258,7 @@
             let mut masters = self.masters.lock().unwrap_or_else(PoisonError::into_inner);
             masters.claim(&role, id).map_err(Status::permission_denied)?;
         }
-        self.change(who, edits, commit).await.map_err(|e| match e {
+        self.change(who, scope, edits, commit).await.map_err(|e| match e {
             Wrong::Status(s) => s,
             Wrong::Refused(r) => refused(&r),
         })?;
@@ -271,7 +287,13 @@
 }
 
 impl Service {
-    async fn change(&self, who: Who, edits: Vec<Edit>, commit: Option<&Commit>) -> Result<u64, Wrong> {
+    async fn change(
+        &self,
+        who: Who,
+        scope: Scope,
+        edits: Vec<Edit>,
+        commit: Option<&Commit>,
+    ) -> Result<u64, Wrong> {
         let wrong = |text: &str| Wrong::Status(Status::invalid_argument(text.to_string()));
         let Some(commit) = commit else {
             // A Set that asks for nothing changes nothing; it may come for its master's id alone.
@@ -279,7 +301,7 @@
                 return Ok(0);
             }
             let what = said(&edits);
-            return self.desk.set(edits, who.name, what, None).await.map_err(Wrong::Refused);
+            return self.desk.set(edits, who.name, what, None, scope).await.map_err(Wrong::Refused);
         };
         let id = commit.id.clone();
         if id.is_empty() || id.len() > ID_MOST {
@@ -293,7 +315,7 @@
                 }
                 let what = said(&edits);
                 let commit = Some((id, span));
-                return self.desk.set(edits, who.name, what, commit).await.map_err(Wrong::Refused);
+                return self.desk.set(edits, who.name, what, commit, scope).await.map_err(Wrong::Refused);
             }
             Some(Action::Confirm(_)) => Ask::Confirm { id },
             Some(Action::Cancel(_)) => Ask::Cancel { id },
@@ -306,6 +328,6 @@
         if !edits.is_empty() {
             return Err(wrong("a confirmation, a cancel or a new duration comes without changes"));
         }
-        self.desk.ask(ask).await.map_err(Wrong::Refused)
+        self.desk.ask(ask, who.name, scope).await.map_err(Wrong::Refused)
     }
 }
--- a/crates/gnmi/src/words.rs
+++ b/crates/gnmi/src/words.rs
@@ -1,6 +1,7 @@
 //! Paths and values between gNMI's messages and the tree's.
 
 use crate::proto::gnmi::{self, typed_value, TypedValue};
+use ironstair_manage::Scope;
 use ironstair_tree::path::{key_name, Wanted};
 use ironstair_tree::schema::MODULE_NAME;
 use ironstair_tree::{Path, Pattern, Value};
@@ -10,6 +11,29 @@
 /// Values within a leaf-list, and bytes of one value as JSON.
 const LIST_MOST: usize = 1024;
 
+/// The origin of paths that mean the fleet's settings, not this gateway's.
+pub const FLEET: &str = "fleet";
+
+/// Whose settings are meant.
+pub fn scope(prefix: Option<&gnmi::Path>) -> Scope {
+    match prefix {
+        Some(p) if p.origin == FLEET => Scope::Fleet,
+        _ => Scope::Gateway,
+    }
+}
+
+pub fn without_scope(mut prefix: gnmi::Path) -> gnmi::Path {
+    if prefix.origin == FLEET {
+        prefix.origin.clear();
+    }
+    prefix
+}
+
+/// Whether a path asks for the fleet's history to begin.
+pub fn is_begin(path: &gnmi::Path) -> bool {
+    path.elem.len() == 1 && path.elem[0].name == "begin"
+}
+
 /// A path as it is asked for, behind its prefix; `target` is this gateway's name, where it is given.
 pub fn pattern(prefix: Option<&gnmi::Path>, path: &gnmi::Path, name: &str) -> Result<Pattern, Status> {
     let wrong = Status::invalid_argument;
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -12,7 +12,7 @@
 use ironstair_accord::chair::{Ask, Refusal};
 use ironstair_accord::{Answer, Beat, Chair, Fleet, Policy, Record};
 use protobuf::Message as _;
-use raft::prelude::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message};
+use raft::prelude::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, MessageType};
 use raft::{Config, Progress, ProgressState, RawNode, SnapshotStatus, StateRole};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -66,6 +66,8 @@
     Answer(u64, Answer<D>),
     /// This keeper is not the chair; another may be.
     NotChair(u64, Option<String>),
+    /// The chair knows that this disk held more: it is an older copy, and is not to be used any more.
+    Older,
 }
 
 /// To the quorum, whether this keeper is still the chair: which one, since when, and the beats that wait for it.
@@ -183,6 +185,12 @@
         &self.state
     }
 
+    /// Who is the chair, as far as this keeper knows.
+    pub fn leader(&self) -> Option<&str> {
+        let leader = self.node.raft.leader_id;
+        self.state.voters.iter().find(|v| *v.1 == leader).map(|v| v.0.as_str())
+    }
+
     /// The chair, where this keeper is it and has read the whole log.
     pub fn chair(&self) -> Option<&Chair<D>> {
         self.chair.as_ref().map(|c| &c.1)
@@ -230,7 +238,15 @@
                 if self.is_blank() {
                     self.teacher = Some((m.from, from.to_string()));
                 }
-                let _ = self.node.step(m);
+                // Against the library's end: the chair counts on what this disk once told it had. So does the
+                // agreement: such a keeper begins blank, as if its disk were lost.
+                let last = self.node.raft.raft_log.last_index();
+                let heartbeat = m.get_msg_type() == MessageType::MsgHeartbeat;
+                if heartbeat && m.term >= self.node.raft.term && m.commit > last {
+                    self.out.push(Out::Older);
+                } else {
+                    let _ = self.node.step(m);
+                }
             }
         }
         self.go_on()
@@ -240,8 +256,8 @@
     pub fn beat(&mut self, now: Ms, token: u64, beat: Beat) -> Vec<Out<D>> {
         self.now = now;
         if self.node.raft.state != StateRole::Leader || self.beats.len() >= BEATS_MOST {
-            let leader = self.state.voters.iter().find(|v| *v.1 == self.node.raft.leader_id);
-            self.out.push(Out::NotChair(token, leader.map(|l| l.0.clone())));
+            let leader = self.leader().map(String::from);
+            self.out.push(Out::NotChair(token, leader));
         } else {
             self.beats.push((token, beat));
         }
--- a/crates/manage/src/desk.rs
+++ b/crates/manage/src/desk.rs
@@ -1,6 +1,7 @@
 //! The manager's actor, and the desk at which others ask it.
 
 use crate::file::Journal;
+use crate::fleet::{Answer, Fleetward, Held, Wanted};
 use crate::start::{bands, keeper, Started};
 use async_channel::Sender as Requests;
 use ironstair::Ms;
@@ -16,6 +17,7 @@
 use ironstair_mail::window::{Amendment, Request, Window};
 use ironstair_tree::state::{self, Snapshot};
 use ironstair_tree::{Edit, Leaves, Path, Schema};
+use serde_json::Value as Json;
 use slog::{info, warn, Logger};
 use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -47,10 +49,19 @@
     Wrong(Vec<String>),
     /// The settings can't be changed as things stand.
     Not(Refusal),
+    /// By the fleet, or since this gateway is in one, or in none.
+    Fleet(String),
     /// The gateway is about to end.
     Ending,
 }
 
+/// Whose settings are meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Gateway,
+    Fleet,
+}
+
 impl fmt::Display for Refused {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
@@ -68,17 +79,29 @@
                 write!(f, "the change can't be kept, and was not made: {why}")
             }
             Refused::Not(Refusal::Busy) => f.write_str("another change is being made"),
+            Refused::Fleet(why) => f.write_str(why),
             Refused::Ending => f.write_str("the gateway is about to end"),
         }
     }
 }
 
-type Answer = oneshot::Sender<Result<u64, Refused>>;
-
 enum Order {
     Look(oneshot::Sender<Arc<Tree>>),
-    Set { edits: Vec<Edit>, who: String, what: String, commit: Option<(String, Ms)>, answer: Answer },
-    Ask(Ask<Document>, Answer),
+    Set(Box<Set>),
+    Ask { ask: Box<Ask<Document>>, who: String, scope: Scope, answer: Answer },
+    Begin(Answer),
+    Show(oneshot::Sender<Result<Json, Refused>>),
+    Examine(Json, oneshot::Sender<Result<(), String>>),
+    Hold { mark: u64, number: u64, document: Json, answer: oneshot::Sender<Result<(), String>> },
+}
+
+struct Set {
+    edits: Vec<Edit>,
+    who: String,
+    what: String,
+    commit: Option<(String, Ms)>,
+    scope: Scope,
+    answer: Answer,
 }
 
 /// Where the tree is read and changed; cloned for each who does.
@@ -132,21 +155,58 @@
         who: String,
         what: String,
         commit: Option<(String, Ms)>,
+        scope: Scope,
     ) -> Result<u64, Refused> {
-        let (answer, told) = oneshot::channel();
-        let order = Order::Set { edits, who, what, commit, answer };
-        self.orders.send(order).await.map_err(|_| Refused::Ending)?;
-        told.await.unwrap_or(Err(Refused::Ending))
+        let asks = |answer| Order::Set(Box::new(Set { edits, who, what, commit, scope, answer }));
+        self.told(asks).await.unwrap_or(Err(Refused::Ending))
     }
 
     /// Confirms, cancels or extends what waits to be confirmed.
     ///
     /// # Errors
     /// Nothing of the kind waits, or the disk did not take it.
-    pub async fn ask(&self, ask: Ask<Document>) -> Result<u64, Refused> {
+    pub async fn ask(&self, ask: Ask<Document>, who: String, scope: Scope) -> Result<u64, Refused> {
+        let asks = |answer| Order::Ask { ask: Box::new(ask), who, scope, answer };
+        self.told(asks).await.unwrap_or(Err(Refused::Ending))
+    }
+
+    /// Begins the fleet's history with what this gateway was told.
+    ///
+    /// # Errors
+    /// It is in no fleet, or a history has begun.
+    pub async fn begin(&self) -> Result<u64, Refused> {
+        self.told(Order::Begin).await.unwrap_or(Err(Refused::Ending))
+    }
+
+    /// What the fleet's chair knows.
+    ///
+    /// # Errors
+    /// It is in no fleet, or no chair answers.
+    pub async fn show(&self) -> Result<Json, Refused> {
+        self.told(Order::Show).await.unwrap_or(Err(Refused::Ending))
+    }
+
+    /// Whether this gateway could hold a policy of the fleet.
+    ///
+    /// # Errors
+    /// Why not.
+    pub async fn examine(&self, document: Json) -> Result<(), String> {
+        self.told(|answer| Order::Examine(document, answer)).await.unwrap_or(Err("it ends".into()))
+    }
+
+    /// Has the decisions go by a policy of the fleet; they do once this is answered.
+    ///
+    /// # Errors
+    /// Why they can't, or don't yet.
+    pub async fn hold(&self, mark: u64, number: u64, document: Json) -> Result<(), String> {
+        let hold = |answer| Order::Hold { mark, number, document, answer };
+        self.told(hold).await.unwrap_or(Err("it ends".into()))
+    }
+
+    async fn told<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
         let (answer, told) = oneshot::channel();
-        self.orders.send(Order::Ask(ask, answer)).await.map_err(|_| Refused::Ending)?;
-        told.await.unwrap_or(Err(Refused::Ending))
+        self.orders.send(order(answer)).await.ok()?;
+        told.await.ok()
     }
 }
 
@@ -169,19 +229,24 @@
     orders: mpsc::Receiver<Order>,
     trees: watch::Sender<Arc<Tree>>,
     watching: Arc<AtomicUsize>,
+    fleet: Option<Fleetward>,
+    held: Option<Held>,
+}
+
+/// What the manager works with.
+pub struct Around {
+    pub clock: Clock,
+    pub window: Arc<Window>,
+    pub requests: Requests<Request>,
+    pub log: Logger,
+    /// The log's, by slog's numbers.
+    pub level: Arc<AtomicUsize>,
+    pub fleet: Option<Fleetward>,
 }
 
 impl Manager {
-    /// `level` is the log's, by slog's numbers.
-    pub fn new(
-        from: Started,
-        name: &str,
-        clock: Clock,
-        window: Arc<Window>,
-        requests: Requests<Request>,
-        log: Logger,
-        level: Arc<AtomicUsize>,
-    ) -> (Manager, Desk) {
+    pub fn new(from: Started, name: &str, around: Around) -> (Manager, Desk) {
+        let Around { clock, window, requests, log, level, fleet } = around;
         let Started { schema, origin, ledger, told, roll, leaves, journal, notes } = from;
         notes.iter().for_each(|n| info!(log, "{}", n));
         let leaves = leaves.union(state::process(name, env!("CARGO_PKG_VERSION")));
@@ -209,6 +274,8 @@
             orders,
             trees,
             watching,
+            fleet,
+            held: None,
         };
         manager.set_level();
         (manager, desk)
@@ -243,37 +310,110 @@
                     }
                     let _ = tell.send(self.trees.borrow().clone());
                 }
-                Some(Order::Set { edits, who, what, commit, answer }) => {
-                    let candidate = match self.candidate(&edits) {
-                        Ok(document) if document.cells != self.ledger.running().cells => {
-                            // Whether a tenant may move goes by what is ready now.
-                            self.look().await;
-                            self.moves(&document).map(|()| document)
+                Some(Order::Set(set)) => self.set(*set).await,
+                Some(Order::Ask { ask, who, scope, answer }) => match self.meant(scope) {
+                    Err(why) => drop(answer.send(Err(why))),
+                    Ok(None) => drop(answer.send(self.hand(Input::Asked(*ask)).await)),
+                    Ok(Some(fleet)) => match *ask {
+                        Ask::Confirm { id } => want(fleet, answer, |answer| Wanted::Confirm { id, answer }),
+                        Ask::Cancel { id } => {
+                            want(fleet, answer, |answer| Wanted::Cancel { id, who, answer })
                         }
-                        other => other,
-                    };
-                    let how = match candidate {
-                        Err(wrong) => Err(Refused::Wrong(wrong)),
-                        Ok(document) => {
-                            self.hand(Input::Asked(Ask::Set { who, what, document, commit })).await
+                        Ask::Set { .. } | Ask::Extend { .. } => {
+                            let why = "in a fleet a change keeps the time it was given".into();
+                            let _ = answer.send(Err(Refused::Fleet(why)));
                         }
-                    };
-                    let _ = answer.send(how);
-                }
-                Some(Order::Ask(ask, answer)) => {
-                    let how = self.hand(Input::Asked(ask)).await;
+                    },
+                },
+                Some(Order::Begin(answer)) => match self.meant(Scope::Fleet) {
+                    Ok(Some(fleet)) => {
+                        let document = serde_json::to_value(&self.told).unwrap_or_default();
+                        want(fleet, answer, |answer| Wanted::Begin { document, answer });
+                    }
+                    other => drop(answer.send(other.map(|_| 0))),
+                },
+                Some(Order::Show(answer)) => match self.meant(Scope::Fleet) {
+                    Ok(Some(fleet)) => want(fleet, answer, Wanted::Show),
+                    other => drop(answer.send(other.map(|_| Json::Null))),
+                },
+                Some(Order::Examine(document, answer)) => drop(answer.send(self.examine(document).map(drop))),
+                Some(Order::Hold { mark, number, document, answer }) => {
+                    let how = self.hold(mark, number, document).await;
                     let _ = answer.send(how);
                 }
             }
         }
     }
 
+    /// The fleet, where that is meant.
+    fn meant(&self, scope: Scope) -> Result<Option<&Fleetward>, Refused> {
+        let no = |why: &str| Err(Refused::Fleet(why.into()));
+        match (&self.fleet, scope) {
+            (None, Scope::Gateway) => Ok(None),
+            (Some(fleet), Scope::Fleet) => Ok(Some(fleet)),
+            (None, Scope::Fleet) => no("this gateway is in no fleet"),
+            (Some(_), Scope::Gateway) => no("this gateway's settings are its fleet's: ironstair set --fleet"),
+        }
+    }
+
+    async fn set(&mut self, Set { edits, who, what, commit, scope, answer }: Set) {
+        if let Err(why) = self.meant(scope) {
+            return drop(answer.send(Err(why)));
+        }
+        let candidate = match self.candidate(&edits) {
+            Ok(document) if document.cells != self.running().cells => {
+                // Whether a tenant may move goes by what is ready now.
+                self.look().await;
+                self.moves(&document).map(|()| document)
+            }
+            other => other,
+        };
+        let document = match candidate {
+            Err(wrong) => return drop(answer.send(Err(Refused::Wrong(wrong)))),
+            Ok(document) => document,
+        };
+        let Some(fleet) = &self.fleet else {
+            let how = self.hand(Input::Asked(Ask::Set { who, what, document, commit })).await;
+            return drop(answer.send(how));
+        };
+        let Some(upon) = self.held.as_ref().map(|h| h.mark) else {
+            let why = "what the fleet holds is not known here yet".into();
+            return drop(answer.send(Err(Refused::Fleet(why))));
+        };
+        let document = serde_json::to_value(&document).unwrap_or_default();
+        want(fleet, answer, |answer| Wanted::Change { who, what, document, upon, commit, answer });
+    }
+
+    /// What the decisions go by.
+    fn running(&self) -> &Document {
+        self.held.as_ref().map_or(self.ledger.running(), |h| &h.document)
+    }
+
+    fn examine(&self, document: Json) -> Result<Document, String> {
+        let read = serde_json::from_value::<Document>(document);
+        let document = read.map_err(|e| format!("this version can't read it: {e}"))?;
+        self.schema.settings(&document).map_err(|m| m.to_string())?;
+        match plan(self.running(), &document, &self.roll, &self.origin.frame) {
+            Ok(_) => Ok(document),
+            Err(faults) => Err(faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("; ")),
+        }
+    }
+
+    async fn hold(&mut self, mark: u64, number: u64, document: Json) -> Result<(), String> {
+        let document = self.examine(document)?;
+        self.held = Some(Held { mark, number, document: document.clone() });
+        let taken = self.apply(number, document).await;
+        self.publish();
+        // Against telling the chair that it is held while the gateway's thread still goes by what was before.
+        taken.then_some(()).ok_or("the gateway's thread has not taken it over yet".into())
+    }
+
     /// The document that a change comes to, checked whole.
     fn candidate(&self, edits: &[Edit]) -> Result<Document, Vec<String>> {
         let new = self.schema.edit(&self.leaves, edits).map_err(|m| vec![m.to_string()])?;
         let document = self.schema.document(&new);
         let document = document.map_err(|all| all.iter().map(|m| m.to_string()).collect::<Vec<_>>())?;
-        match plan(self.ledger.running(), &document, &self.roll, &self.origin.frame) {
+        match plan(self.running(), &document, &self.roll, &self.origin.frame) {
             Ok(_) => Ok(document),
             Err(faults) => Err(faults.iter().map(|f| f.to_string()).collect()),
         }
@@ -284,7 +424,7 @@
         let (Some(cells), Some(keeper)) = (&to.cells, keeper(to)) else { return Ok(()) };
         let engines = self.was.engines.iter().filter(|(_, e)| e.view.standing == ironstair::Standing::Ready);
         let ready = engines.map(|(_, e)| keeper.engine(e.id)).fold(Cells::default(), Cells::with);
-        let before = self.ledger.running().cells.iter().flat_map(|c| &c.tenant);
+        let before = self.running().cells.iter().flat_map(|c| &c.tenant);
         let before: Vec<_> = before.collect();
         let moved = cells.tenant.iter().filter(|t| !before.contains(t));
         let refused = moved.filter_map(|t| {
@@ -313,7 +453,7 @@
                             warn!(self.log, "a change taken back could not be noted"; "why" => why);
                         }
                     }
-                    Action::Apply { number, document } => self.apply(number, document).await,
+                    Action::Apply { number, document } => drop(self.apply(number, document).await),
                     Action::Answer(how) => answer = how.map_err(Refused::Not),
                 }
             }
@@ -348,11 +488,15 @@
         Kept { told: self.told.clone(), running, number, next, lines }
     }
 
-    async fn apply(&mut self, number: u64, document: Document) {
+    /// Whether the gateway's thread has taken it over by the end.
+    async fn apply(&mut self, number: u64, document: Document) -> bool {
         let settings = match self.schema.settings(&document) {
             Ok(settings) => settings,
             // Checked before it came to this.
-            Err(m) => return warn!(self.log, "the settings do not fit the tree"; "why" => %m),
+            Err(m) => {
+                warn!(self.log, "the settings do not fit the tree"; "why" => %m);
+                return false;
+            }
         };
         if let Ok(p) = plan(&document, &document, &self.roll, &self.origin.frame) {
             self.roll = p.roll;
@@ -362,9 +506,9 @@
         let (done, told) = async_channel::bounded(1);
         let cells = Some(keeper(&document));
         let amendment = Amendment { mandate, bands, longest, cells, carriage: None, done };
-        if self.requests.send(Request::Amend(Box::new(amendment))).await.is_ok()
-            && timeout(span(AMEND_WITHIN), told.recv()).await.is_err()
-        {
+        let asked = self.requests.send(Request::Amend(Box::new(amendment))).await.is_ok();
+        let taken = asked && matches!(timeout(span(AMEND_WITHIN), told.recv()).await, Ok(Ok(())));
+        if asked && !taken {
             warn!(self.log, "the gateway's thread is slow to take over the settings"; "revision" => number);
         }
         let root = Path::root().child(&"settings".into(), None);
@@ -376,10 +520,11 @@
         self.looked = 0.0;
         self.set_level();
         info!(self.log, "settings changed"; "revision" => number);
+        taken
     }
 
     fn set_level(&self) {
-        let level = match self.ledger.running().log.level {
+        let level = match self.running().log.level {
             Level::Error => slog::Level::Error,
             Level::Warning => slog::Level::Warning,
             Level::Info => slog::Level::Info,
@@ -402,7 +547,23 @@
     }
 
     fn publish(&self) {
+        let leaves = match &self.fleet {
+            Some(fleet) => state::fleet(&self.leaves, &fleet.shown.borrow()),
+            None => self.leaves.clone(),
+        };
         let at = if self.was.at > 0.0 { self.was.at } else { self.clock.now() };
-        self.trees.send_replace(Arc::new(Tree { at, leaves: self.leaves.clone() }));
+        self.trees.send_replace(Arc::new(Tree { at, leaves }));
+    }
+}
+
+/// Hands on what is asked of the fleet; its actor answers.
+fn want<T>(
+    fleet: &Fleetward,
+    answer: oneshot::Sender<Result<T, Refused>>,
+    what: impl FnOnce(oneshot::Sender<Result<T, Refused>>) -> Wanted,
+) {
+    match fleet.wanted.try_reserve() {
+        Ok(place) => place.send(what(answer)),
+        Err(_) => drop(answer.send(Err(Refused::Fleet("too much waits for the fleet".into())))),
     }
 }
--- a/crates/manage/src/lib.rs
+++ b/crates/manage/src/lib.rs
@@ -3,8 +3,9 @@
 
 mod desk;
 mod file;
+pub mod fleet;
 mod start;
 
-pub use desk::{Desk, Manager, Refused, Tree, Watch};
+pub use desk::{Around, Desk, Manager, Refused, Scope, Tree, Watch};
 pub use file::Journal;
 pub use start::{bands, open, Started};
--- /dev/null
+++ b/crates/muster/src/actor.rs
@@ -0,0 +1,841 @@
+//! The owner of a gateway's part in its fleet: one mailbox, one task. What it waits for (a disk, a peer, the
+//! gateway's thread) is waited for by tasks of its own, which post how it ended.
+
+use crate::charter::Charter;
+use crate::proto::Word;
+use crate::serve::{self, Own};
+use crate::shown;
+use crate::way::Way;
+use ironstair::Ms;
+use ironstair_accord::chair::{Ask, Refusal};
+use ironstair_accord::member::{Action, Input};
+use ironstair_accord::record::Wish;
+use ironstair_accord::{Answer, Beat, Line, Member, Standing};
+use ironstair_archive::Archive;
+use ironstair_keeper::{Keeper, Out, Save, TICK};
+use ironstair_mail::clock::{span, Clock};
+use ironstair_mail::window::Request;
+use ironstair_manage::fleet::Wanted;
+use ironstair_manage::{Desk, Refused};
+use ironstair_tree::state;
+use serde::{Deserialize, Serialize};
+use serde_json::Value as Json;
+use slog::{info, warn, Logger};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{BuildHasher, Hasher};
+use std::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{interval, sleep, MissedTickBehavior};
+
+/// What may wait for the actor.
+const MAILBOX: usize = 1024;
+/// Beats of this gateway that may be under way, and asks that may wait for their outcome here.
+const BEATS_MOST: usize = 4;
+const ASKS_MOST: usize = 64;
+/// A keeper without a history asks to be let in this often.
+const KNOCK_EVERY: Ms = 500.0;
+/// How long a disk that took nothing is left alone.
+const DISK_AGAIN: Ms = 500.0;
+/// Between two tries to find the chair.
+const LOOK_AGAIN: Ms = 50.0;
+/// How long an operator waits for what becomes of a change, in leases and at least.
+const OUTCOME_LEASES: f64 = 5.0;
+const OUTCOME_LEAST: Ms = 15_000.0;
+
+/// What an operator asks of the chair.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Asked {
+    Ask(Ask<Json>),
+    Show,
+}
+
+/// Another keeper may be the chair.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Hint {
+    pub chair: Option<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Told {
+    Done(u64),
+    Refused(String),
+    Shown(Json),
+    Elsewhere(Hint),
+}
+
+/// To the actor.
+pub enum Mail {
+    Beat(Beat, oneshot::Sender<Result<Answer<Json>, Hint>>),
+    Agree(String, Vec<u8>),
+    /// A keeper and its voter's number, or 0 where it asks for the history alone.
+    Knock(String, u64, oneshot::Sender<u64>),
+    Ask(Asked, oneshot::Sender<Told>),
+    /// A beat of this gateway came back, and from whom.
+    Answered(Option<(String, Answer<Json>)>),
+    Held(u64, Result<(), String>),
+    Examined(u64, Result<(), String>),
+    Saved(Box<Saved>),
+    /// The histories that the other keepers know, before one begins here.
+    Known(Result<(), String>, Json, ironstair_manage::fleet::Answer),
+    Leave(oneshot::Sender<()>),
+}
+
+pub struct Saved {
+    archive: Archive,
+    save: Save,
+    how: Result<(), String>,
+}
+
+/// Says that the process ends, once all is answered; told when the fleet knows.
+pub type Leave = mpsc::Sender<Mail>;
+
+enum Waits {
+    Own,
+    Other(oneshot::Sender<Result<Answer<Json>, Hint>>),
+}
+
+/// A keeper's log and its disk, which is elsewhere while it writes.
+struct Kept {
+    keeper: Keeper<Json>,
+    archive: Option<Archive>,
+    older: bool,
+    knock_at: Ms,
+    disk_said: bool,
+}
+
+struct Pending {
+    ask: Ask<Json>,
+    until: Ms,
+    answer: oneshot::Sender<Told>,
+}
+
+/// Opened before anything serves: a disk or an address that can't be used is told at once.
+pub struct Opened {
+    charter: Charter,
+    bound: TcpListener,
+    archive: Option<Archive>,
+    note: Option<String>,
+}
+
+/// Not 0, which stands for none.
+fn drawn() -> u64 {
+    std::collections::hash_map::RandomState::new().build_hasher().finish() | 1
+}
+
+impl Opened {
+    /// # Errors
+    /// The address is not free, or the disk can't be used; one sentence.
+    pub fn open(charter: Charter) -> Result<Opened, String> {
+        let bound = serve::bind(charter.listen)?;
+        let archive = charter.folder.as_ref();
+        let open = |folder| Archive::open(folder, &charter.fleet, &charter.name, drawn());
+        let archive = archive.map(|f| open(f).map_err(|e| format!("fleet.state: {e}"))).transpose()?;
+        let (archive, note) = archive.map_or((None, None), |a| (Some(a.archive), a.note));
+        Ok(Opened { charter, bound, archive, note })
+    }
+}
+
+pub struct Actor {
+    charter: Charter,
+    own: Own,
+    clock: Clock,
+    log: Logger,
+    member: Member,
+    kept: Option<Kept>,
+    desk: Desk,
+    requests: async_channel::Sender<Request>,
+    ways: BTreeMap<String, Way>,
+    /// The keeper that last answered a beat.
+    speaks_to: Option<String>,
+    inbox: mpsc::Receiver<Mail>,
+    post: mpsc::Sender<Mail>,
+    wanted: mpsc::Receiver<Wanted>,
+    shown: watch::Sender<state::Fleet>,
+    answers: HashMap<u64, Waits>,
+    tokens: u64,
+    beats: usize,
+    pending: Vec<Pending>,
+    leaving: Option<oneshot::Sender<()>>,
+    /// Whether it was said that a lease is held.
+    held: bool,
+    /// The revisions as last told to the log.
+    lines: VecDeque<Line>,
+}
+
+/// The ends of an actor that others hold.
+pub struct Ends {
+    pub wanted: mpsc::Receiver<Wanted>,
+    pub shown: watch::Sender<state::Fleet>,
+}
+
+impl Actor {
+    /// Must be called on the runtime that serves it; the listener's task is started here.
+    ///
+    /// # Errors
+    /// The disk holds no keeper's log, or an address can't be one.
+    pub fn start(
+        opened: Opened,
+        ends: Ends,
+        desk: Desk,
+        requests: async_channel::Sender<Request>,
+        clock: Clock,
+        log: Logger,
+    ) -> Result<(Actor, Leave), String> {
+        let Opened { charter, bound, archive, note } = opened;
+        let own = Own { fleet: charter.fleet.clone(), name: charter.name.clone(), start: drawn() };
+        let (post, inbox) = mpsc::channel(MAILBOX);
+        if let Some(note) = note {
+            warn!(log, "the fleet's log here is not what it was"; "why" => note);
+        }
+        let others = charter.keepers.iter().filter(|(name, _)| **name != charter.name);
+        let ways = others.map(|(name, at)| Ok((name.clone(), Way::to(*at)?)));
+        let ways = ways.collect::<Result<BTreeMap<_, _>, String>>()?;
+        let member = Member::new(&charter.name, own.start, charter.steady, charter.lease);
+        let serving = serve::serve(bound, own.clone(), post.clone(), log.clone());
+        let said = log.clone();
+        tokio::spawn(async move {
+            if let Err(why) = serving.await {
+                warn!(said, "the fleet's listener has ended"; "why" => why);
+            }
+        });
+        let mut actor = Actor {
+            charter,
+            own,
+            clock,
+            log,
+            member,
+            kept: None,
+            desk,
+            requests,
+            ways,
+            speaks_to: None,
+            inbox,
+            post: post.clone(),
+            wanted: ends.wanted,
+            shown: ends.shown,
+            answers: HashMap::new(),
+            tokens: 0,
+            beats: 0,
+            pending: Vec::new(),
+            leaving: None,
+            held: false,
+            lines: VecDeque::new(),
+        };
+        if let Some(archive) = archive {
+            actor.keep(archive)?;
+        }
+        Ok((actor, post))
+    }
+
+    /// A keeper with what its disk holds.
+    fn keep(&mut self, archive: Archive) -> Result<(), String> {
+        let place = self.charter.keepers.keys().position(|k| *k == self.charter.name).unwrap_or(0);
+        let (name, lease, now) = (&self.charter.name, self.charter.lease, self.clock.now());
+        let keeper = Keeper::open(name, place, lease, archive.image(), now, &self.log)?;
+        let history = keeper.state().fleet.history;
+        info!(self.log, "a keeper of the fleet's log"; "history" => format!("{history:016x}"));
+        // Only what comes to pass from now on is news.
+        self.lines.clone_from(&keeper.state().fleet.lines);
+        let archive = Some(archive);
+        self.kept = Some(Kept { keeper, archive, older: false, knock_at: now, disk_said: false });
+        Ok(())
+    }
+
+    /// Until the process ends.
+    pub async fn run(mut self) {
+        let mut ticks = interval(span(TICK));
+        // After a standstill the library's time goes on from now: it counts ticks, not what the clock says.
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            self.go_on();
+            let due = span(self.member.due() - self.clock.now());
+            tokio::select! {
+                mail = self.inbox.recv() => match mail {
+                    Some(mail) => self.take(mail),
+                    None => return,
+                },
+                Some(wanted) = self.wanted.recv() => self.want(wanted),
+                _ = ticks.tick(), if self.kept.is_some() => self.tick(),
+                () = sleep(due) => {}
+            }
+        }
+    }
+
+    fn take(&mut self, mail: Mail) {
+        let now = self.clock.now();
+        match mail {
+            Mail::Beat(beat, to) => match &mut self.kept {
+                Some(_) => self.beat(beat, Waits::Other(to)),
+                None => drop(to.send(Err(Hint::default()))),
+            },
+            Mail::Agree(from, bytes) => {
+                let outs = self.kept.as_mut().map(|k| k.keeper.message(now, &from, &bytes));
+                self.carry(outs.unwrap_or_default());
+            }
+            Mail::Knock(name, number, to) => {
+                let Some(k) = &mut self.kept else {
+                    let _ = to.send(self.member.held().0);
+                    return;
+                };
+                if number != 0 && self.charter.keepers.contains_key(&name) {
+                    k.keeper.knocked(name, number);
+                }
+                let _ = to.send(k.keeper.state().fleet.history);
+            }
+            Mail::Ask(asked, to) => self.asked(asked, to),
+            Mail::Answered(answer) => {
+                self.beats -= 1;
+                if let Some((by, answer)) = answer {
+                    self.speaks_to = Some(by);
+                    self.told(answer);
+                }
+            }
+            Mail::Held(mark, how) => {
+                self.act(match how {
+                    Ok(()) => Input::Applied { mark },
+                    Err(why) => Input::Unable { mark, why },
+                });
+            }
+            Mail::Examined(number, how) => self.act(Input::Examined { number, how }),
+            Mail::Saved(saved) => self.saved(*saved),
+            Mail::Known(how, document, answer) => self.begin(how, document, answer),
+            Mail::Leave(done) => {
+                self.leaving = Some(done);
+                self.act(Input::Leave);
+            }
+        }
+    }
+
+    /// What is due, and what others are to see.
+    fn go_on(&mut self) {
+        let now = self.clock.now();
+        if now >= self.member.due() {
+            self.act(Input::Due);
+        }
+        self.answer_the_pending();
+        self.say_what_came_to_pass();
+        let held = self.member.holds(now);
+        if held != self.held {
+            self.held = held;
+            match held {
+                true => info!(self.log, "the fleet's policy is held"; "revision" => self.member.held().2),
+                false => {
+                    warn!(self.log, "the fleet was not heard for a lease: nothing is forwarded until it is");
+                }
+            }
+        }
+        let (history, _, revision) = self.member.held();
+        let is = state::Fleet {
+            name: self.charter.fleet.clone(),
+            history,
+            revision,
+            until: self.member.until(),
+            steady: self.charter.steady,
+            keeper: self.kept.is_some(),
+            chair: self.chair().unwrap_or_default(),
+        };
+        self.shown.send_if_modified(|was| {
+            let other = *was != is;
+            *was = is;
+            other
+        });
+    }
+
+    fn chair(&self) -> Option<String> {
+        match &self.kept {
+            Some(k) => k.keeper.leader().map(String::from),
+            None => self.speaks_to.clone(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let Some(k) = &mut self.kept else { return };
+        let outs = k.keeper.tick(now);
+        let knock = k.keeper.knock().filter(|_| now >= k.knock_at);
+        if let Some((_, number)) = knock {
+            k.knock_at = now + KNOCK_EVERY;
+            for way in self.ways.values() {
+                let (way, word) = (way.clone(), self.own.word(number.to_string().into_bytes()));
+                tokio::spawn(async move { drop(way.knock(word, KNOCK_EVERY * 0.8).await) });
+            }
+        }
+        self.carry(outs);
+    }
+
+    /// Hands one input to the member, and carries out what it wants.
+    fn act(&mut self, input: Input<Json>) {
+        for action in self.member.on(self.clock.now(), input) {
+            match action {
+                Action::Beat(beat) => self.send(beat),
+                Action::Apply { mark, number, document } => {
+                    let (desk, post) = (self.desk.clone(), self.post.clone());
+                    tokio::spawn(async move {
+                        let how = desk.hold(mark, number, document).await;
+                        let _ = post.send(Mail::Held(mark, how)).await;
+                    });
+                }
+                Action::Examine { number, document } => {
+                    let (desk, post) = (self.desk.clone(), self.post.clone());
+                    tokio::spawn(async move {
+                        let how = desk.examine(document).await;
+                        let _ = post.send(Mail::Examined(number, how)).await;
+                    });
+                }
+                // Where the gateway's thread is behind, the next lease tells it.
+                Action::Hold(until) => drop(self.requests.try_send(Request::Tenure(until))),
+                Action::Say(what) => warn!(self.log, "of the fleet"; "why" => what),
+            }
+        }
+    }
+
+    fn told(&mut self, answer: Answer<Json>) {
+        self.act(Input::Answered(answer));
+        if let Some(done) = self.leaving.take() {
+            let _ = done.send(());
+        }
+    }
+
+    /// The gateway's own beat goes to the chair: here, or by the way to it.
+    fn send(&mut self, beat: Beat) {
+        let here = self.kept.as_ref().is_some_and(|k| k.keeper.leader() == Some(&self.charter.name));
+        if here {
+            return self.beat(beat, Waits::Own);
+        }
+        if self.beats >= BEATS_MOST {
+            return;
+        }
+        self.beats += 1;
+        let body = serde_json::to_vec(&beat).unwrap_or_default();
+        let (search, post) = (self.search(), self.post.clone());
+        let word = self.own.word(body);
+        // An answer after a lease is none: the next beat is under way by then.
+        let within = self.charter.lease / 2.0;
+        tokio::spawn(async move {
+            let found = search.beat(word, within).await;
+            let _ = post.send(Mail::Answered(found)).await;
+        });
+    }
+
+    fn search(&self) -> Search {
+        let first = self.chair().filter(|c| self.ways.contains_key(c));
+        Search {
+            own: self.own.clone(),
+            ways: self.ways.clone(),
+            first,
+            clock: self.clock,
+            lease: self.charter.lease,
+        }
+    }
+
+    /// A beat at this keeper.
+    fn beat(&mut self, beat: Beat, waits: Waits) {
+        let Some(k) = &mut self.kept else { return };
+        self.tokens += 1;
+        self.answers.insert(self.tokens, waits);
+        let outs = k.keeper.beat(self.clock.now(), self.tokens, beat);
+        self.carry(outs);
+    }
+
+    fn carry(&mut self, outs: Vec<Out<Json>>) {
+        for out in outs {
+            match out {
+                Out::Save(save) => self.save(save),
+                Out::Send(to, bytes) => {
+                    if let Some(way) = self.ways.get(&to) {
+                        way.agree(self.own.word(bytes));
+                    }
+                }
+                Out::Answer(token, answer) => match self.answers.remove(&token) {
+                    Some(Waits::Own) => self.told(answer),
+                    Some(Waits::Other(to)) => drop(to.send(Ok(answer))),
+                    None => {}
+                },
+                Out::NotChair(token, chair) => {
+                    if let Some(Waits::Other(to)) = self.answers.remove(&token) {
+                        let _ = to.send(Err(Hint { chair }));
+                    }
+                }
+                Out::Older => self.leave_the_older(),
+            }
+        }
+    }
+
+    fn save(&mut self, save: Save) {
+        let Some(mut archive) = self.kept.as_mut().and_then(|k| k.archive.take()) else { return };
+        let post = self.post.clone();
+        tokio::spawn(async move {
+            let work = tokio::task::spawn_blocking(move || {
+                let how = archive.save(save.clone());
+                Saved { archive, save, how }
+            });
+            // A thread that panicked leaves no disk behind: this keeper writes nothing more, and votes on nothing.
+            if let Ok(saved) = work.await {
+                let _ = post.send(Mail::Saved(Box::new(saved))).await;
+            }
+        });
+    }
+
+    fn saved(&mut self, Saved { archive, save, how }: Saved) {
+        let now = self.clock.now();
+        let Some(k) = &mut self.kept else { return };
+        k.archive = Some(archive);
+        if k.older {
+            return self.leave_the_older();
+        }
+        if let Err(why) = how {
+            // It votes on nothing and tells nobody until the disk has it.
+            if !std::mem::replace(&mut k.disk_said, true) {
+                warn!(self.log, "the fleet's log can't be kept: this keeper takes no part until it can"; "why" => why);
+            }
+            let post = self.post.clone();
+            let Some(mut archive) = k.archive.take() else { return };
+            tokio::spawn(async move {
+                sleep(span(DISK_AGAIN)).await;
+                let work = tokio::task::spawn_blocking(move || {
+                    let how = archive.save(save.clone());
+                    Saved { archive, save, how }
+                });
+                if let Ok(saved) = work.await {
+                    let _ = post.send(Mail::Saved(Box::new(saved))).await;
+                }
+            });
+            return;
+        }
+        if std::mem::take(&mut k.disk_said) {
+            info!(self.log, "the fleet's log is kept again");
+        }
+        let outs = k.keeper.saved(now);
+        self.carry(outs);
+    }
+
+    // What this disk once told it had is more than it has: to go on under its number would lose what others rest on.
+    fn leave_the_older(&mut self) {
+        let Some(k) = &mut self.kept else { return };
+        k.older = true;
+        let Some(mut archive) = k.archive.take() else { return };
+        let how = archive.put_aside(drawn());
+        self.kept = None;
+        match how.and_then(|aside| self.keep(archive).map(|()| aside)) {
+            Ok(aside) => {
+                warn!(self.log, "the fleet's log here is an older copy: put aside, and begun blank"; "aside" => aside);
+            }
+            Err(why) => warn!(self.log, "this keeper takes no part any more"; "why" => why),
+        }
+    }
+
+    fn want(&mut self, wanted: Wanted) {
+        let now = self.clock.now();
+        let fail = |answer: ironstair_manage::fleet::Answer, why: &str| {
+            drop(answer.send(Err(Refused::Fleet(why.into()))));
+        };
+        match wanted {
+            Wanted::Change { who, what, document, upon, commit, answer } => {
+                let when = now;
+                let wish = Wish { token: drawn(), who, when, what, upon, document, commit };
+                self.ask(Ask::Change(wish), answer);
+            }
+            Wanted::Confirm { id, answer } => self.ask(Ask::Confirm { id }, answer),
+            Wanted::Cancel { id, who, answer } => self.ask(Ask::Cancel { id: Some(id), who }, answer),
+            Wanted::Show(answer) => {
+                let (search, own) = (self.search(), self.post.clone());
+                tokio::spawn(async move {
+                    let _ = answer.send(match search.ask(own, Asked::Show, OUTCOME_LEAST / 3.0).await {
+                        Told::Shown(json) => Ok(json),
+                        Told::Refused(why) => Err(Refused::Fleet(why)),
+                        _ => Err(Refused::Fleet("no chair".into())),
+                    });
+                });
+            }
+            Wanted::Begin { document, answer } => {
+                let first = self.charter.keepers.keys().next();
+                let Some(k) = &self.kept else { return fail(answer, "only a keeper begins a history") };
+                if first != Some(&self.charter.name) {
+                    // In one place alone, so that no two can begin.
+                    let why = format!("a history is begun at the keeper {}", first.map_or("", |f| f));
+                    return fail(answer, &why);
+                }
+                if !k.keeper.is_blank() || k.archive.is_none() {
+                    return fail(answer, "the fleet has a history");
+                }
+                let (ways, own, post) = (self.ways.clone(), self.own.clone(), self.post.clone());
+                tokio::spawn(async move {
+                    let mut how = Ok(());
+                    for (name, way) in ways {
+                        let known = way.knock(own.word(b"0".to_vec()), OUTCOME_LEAST / 3.0).await;
+                        how = how.and(match known.as_ref().map(|w| serde_json::from_slice::<u64>(&w.body)) {
+                            Ok(Ok(0)) => Ok(()),
+                            Ok(Ok(_)) => Err(format!(
+                                "{name} knows of a history: this keeper's disk is lost, not the fleet's"
+                            )),
+                            Ok(Err(e)) => Err(format!("{name}: {e}")),
+                            Err(e) => Err(format!("{name} must answer, and does not: {}", e.message())),
+                        });
+                    }
+                    let _ = post.send(Mail::Known(how, document, answer)).await;
+                });
+            }
+        }
+    }
+
+    fn begin(&mut self, how: Result<(), String>, document: Json, answer: ironstair_manage::fleet::Answer) {
+        let made = how.and_then(|()| {
+            let Some(k) = self.kept.as_mut().filter(|k| k.keeper.is_blank()) else {
+                return Err("the fleet has a history".into());
+            };
+            let mut archive = k.archive.take().ok_or("the disk is being written")?;
+            let image = Keeper::begin(&self.charter.name, drawn(), drawn(), document)?;
+            let begun = archive.begin(image);
+            self.kept = None;
+            self.keep(archive).and(begun)
+        });
+        let _ = answer.send(made.map(|()| 0).map_err(Refused::Fleet));
+    }
+
+    /// Finds the chair for what an operator asks, and hands on the outcome.
+    fn ask(&mut self, ask: Ask<Json>, answer: ironstair_manage::fleet::Answer) {
+        let (search, own) = (self.search(), self.post.clone());
+        let within = self.outcome_within() + OUTCOME_LEAST / 3.0;
+        tokio::spawn(async move {
+            let told = search.ask(own, Asked::Ask(ask), within).await;
+            let _ = answer.send(match told {
+                Told::Done(number) => Ok(number),
+                Told::Refused(why) => Err(Refused::Fleet(why)),
+                _ => Err(Refused::Fleet("no chair".into())),
+            });
+        });
+    }
+
+    fn outcome_within(&self) -> Ms {
+        (OUTCOME_LEASES * self.charter.lease).max(OUTCOME_LEAST)
+    }
+
+    /// At this keeper: an ask is handed to the chair, and answered once it is known what became of it.
+    fn asked(&mut self, asked: Asked, to: oneshot::Sender<Told>) {
+        let now = self.clock.now();
+        let elsewhere = Told::Elsewhere(Hint { chair: self.chair() });
+        let Some(k) = &mut self.kept else { return drop(to.send(elsewhere)) };
+        let Some(chair) = k.keeper.chair() else { return drop(to.send(elsewhere)) };
+        let ask = match asked {
+            Asked::Ask(ask) => ask,
+            Asked::Show => {
+                let shown = shown::fleet(now, &self.charter.name, k.keeper.state(), chair);
+                return drop(to.send(Told::Shown(shown)));
+            }
+        };
+        if self.pending.len() >= ASKS_MOST {
+            return drop(to.send(Told::Refused(Refusal::Busy.to_string())));
+        }
+        // One that comes again by another way stands in the log already.
+        if outcome(&k.keeper.state().fleet, &ask) == Outcome::Unknown {
+            match k.keeper.ask(now, ask.clone()) {
+                Ok(outs) => self.carry(outs),
+                Err(why) => return drop(to.send(Told::Refused(why.to_string()))),
+            }
+        }
+        let until = now + self.outcome_within();
+        self.pending.push(Pending { ask, until, answer: to });
+    }
+
+    fn answer_the_pending(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let chair = self.chair();
+        let mut again = Vec::new();
+        for p in std::mem::take(&mut self.pending) {
+            let found = self.kept.as_ref().and_then(|k| Some((k, k.keeper.chair()?)));
+            let Some((k, sits)) = found else {
+                let _ = p.answer.send(Told::Elsewhere(Hint { chair: chair.clone() }));
+                continue;
+            };
+            let fleet = &k.keeper.state().fleet;
+            let told = match outcome(fleet, &p.ask) {
+                // Who hears that it is done finds it done wherever he looks next.
+                Outcome::Known(Told::Done(_)) if now < p.until && !sits.all_hold(now, fleet) => None,
+                Outcome::Known(told) => Some(told),
+                Outcome::Unknown if !sits.waits(&p.ask) => {
+                    again.push(p);
+                    continue;
+                }
+                _ if now >= p.until => {
+                    let names = shown::waits_for(now, fleet, sits).join(", ");
+                    let why = format!(
+                        "it is not done yet, and waits for {names}: it goes on, and can be cancelled"
+                    );
+                    Some(Told::Refused(why))
+                }
+                _ => None,
+            };
+            match told {
+                Some(told) => drop(p.answer.send(told)),
+                None => self.pending.push(p),
+            }
+        }
+        // Passed over when its turn came, since something else had come before it.
+        for p in again {
+            let Some(k) = &mut self.kept else { return };
+            match k.keeper.ask(now, p.ask.clone()) {
+                Ok(outs) => {
+                    self.carry(outs);
+                    self.pending.push(p);
+                }
+                Err(why) => drop(p.answer.send(Told::Refused(why.to_string()))),
+            }
+        }
+    }
+
+    /// A line in the log for each step of a change, at each keeper.
+    fn say_what_came_to_pass(&mut self) {
+        let Some(k) = &self.kept else { return };
+        let lines = &k.keeper.state().fleet.lines;
+        if *lines == self.lines {
+            return;
+        }
+        let known = |l: &&Line| !self.lines.iter().any(|was| was == *l);
+        for l in lines.iter().filter(known) {
+            let (by, why) = l.refused.clone().unwrap_or_default();
+            info!(self.log, "a change of the fleet's policy"; "step" => step(l.standing), "revision" => l.number,
+                "who" => &l.who, "what" => &l.what, "refused_by" => by, "why" => why);
+        }
+        self.lines = lines.clone();
+    }
+}
+
+fn step(of: Standing) -> &'static str {
+    match of {
+        Standing::Staged => "staged",
+        Standing::Binding => "binding",
+        Standing::Running => "running",
+        Standing::Unconfirmed => "unconfirmed",
+        Standing::Replaced => "replaced",
+        Standing::TakenBack => "taken back",
+        Standing::Refused => "refused",
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Outcome {
+    Known(Told),
+    /// It stands in the log, and goes on.
+    UnderWay,
+    Unknown,
+}
+
+impl PartialEq for Told {
+    fn eq(&self, other: &Told) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+/// What became of an ask, by the log.
+fn outcome(fleet: &ironstair_accord::Fleet<Json>, ask: &Ask<Json>) -> Outcome {
+    let line = match ask {
+        Ask::Change(wish) => fleet.lines.iter().find(|l| l.token == wish.token),
+        Ask::Confirm { id } => fleet.lines.iter().rev().find(|l| l.commit.as_ref() == Some(id)),
+        Ask::Cancel { id: Some(id), .. } => fleet.lines.iter().rev().find(|l| l.commit.as_ref() == Some(id)),
+        Ask::Cancel { id: None, .. } => None,
+    };
+    let Some(l) = line else { return Outcome::Unknown };
+    let refused = || {
+        let (by, why) = l.refused.clone().unwrap_or_default();
+        Outcome::Known(Told::Refused(format!("revision {} was refused by {by}: {why}", l.number)))
+    };
+    let done = Outcome::Known(Told::Done(l.number));
+    let back_over = fleet.change.as_ref().is_none_or(|c| !c.back);
+    match (ask, l.standing) {
+        (Ask::Change(_), Standing::Staged | Standing::Binding) => Outcome::UnderWay,
+        (Ask::Change(_), Standing::Refused) => refused(),
+        (Ask::Change(_), _) => done,
+        (Ask::Confirm { .. }, Standing::Running) => done,
+        (Ask::Cancel { .. }, Standing::TakenBack) if back_over => done,
+        (Ask::Cancel { .. }, Standing::TakenBack) => Outcome::UnderWay,
+        (Ask::Cancel { .. }, Standing::Refused) => done,
+        _ => Outcome::Unknown,
+    }
+}
+
+/// One search for the chair, by the ways to the keepers.
+struct Search {
+    own: Own,
+    ways: BTreeMap<String, Way>,
+    first: Option<String>,
+    clock: Clock,
+    lease: Ms,
+}
+
+impl Search {
+    /// Who comes after whom, where nobody is named.
+    fn next(&self, after: Option<&String>) -> Option<String> {
+        let later = after.and_then(|a| self.ways.keys().find(|k| *k > a));
+        later.or(self.ways.keys().next()).cloned()
+    }
+
+    async fn beat(self, word: Word, within: Ms) -> Option<(String, Answer<Json>)> {
+        let until = self.clock.now() + within;
+        let mut to = self.first.clone().or(self.next(None))?;
+        while self.clock.now() < until {
+            let each = (self.lease / 6.0).min(until - self.clock.now());
+            let said = self.ways[&to].beat(word.clone(), each).await;
+            let read = said.ok().map(|w| serde_json::from_slice::<Result<Answer<Json>, Hint>>(&w.body));
+            to = match read {
+                Some(Ok(Ok(answer))) => return Some((to, answer)),
+                Some(Ok(Err(Hint { chair: Some(chair) })))
+                    if chair != to && self.ways.contains_key(&chair) =>
+                {
+                    chair
+                }
+                _ => {
+                    sleep(span(LOOK_AGAIN)).await;
+                    self.next(Some(&to))?
+                }
+            };
+        }
+        None
+    }
+
+    /// Here first: this keeper may be the chair.
+    async fn ask(self, here: mpsc::Sender<Mail>, asked: Asked, within: Ms) -> Told {
+        let until = self.clock.now() + within;
+        let body = serde_json::to_vec(&asked).unwrap_or_default();
+        let mut to = self.first.clone();
+        let mut last = String::from("no keeper answers");
+        while self.clock.now() < until {
+            let (answer, told) = oneshot::channel();
+            if here.send(Mail::Ask(asked.clone(), answer)).await.is_err() {
+                break;
+            }
+            match told.await {
+                Ok(Told::Elsewhere(Hint { chair })) => {
+                    to = chair.filter(|c| self.ways.contains_key(c)).or(to).or_else(|| self.next(None));
+                }
+                Ok(told) => return told,
+                Err(_) => {}
+            }
+            let Some(at) = to.clone() else { break };
+            let left = until - self.clock.now();
+            let said = self.ways[&at].ask(self.own.word(body.clone()), left).await;
+            let read = said.map(|w| serde_json::from_slice::<Told>(&w.body));
+            to = match read {
+                Ok(Ok(Told::Elsewhere(Hint { chair }))) => {
+                    let other = chair.filter(|c| *c != at && self.ways.contains_key(c));
+                    other.or_else(|| self.next(Some(&at)))
+                }
+                Ok(Ok(told)) => return told,
+                Ok(Err(e)) => return Told::Refused(format!("{at} answers what can't be read: {e}")),
+                // The same ask may be said again: the log knows it by its token.
+                Err(e) => {
+                    last = format!("{at}: {}", e.message());
+                    self.next(Some(&at))
+                }
+            };
+            sleep(span(LOOK_AGAIN)).await;
+        }
+        Told::Refused(format!(
+            "the fleet has no chair that answers ({last}); what became of it, `ironstair fleet` shows"
+        ))
+    }
+}
--- /dev/null
+++ b/crates/muster/src/charter.rs
@@ -0,0 +1,65 @@
+//! What an operator says of a fleet, checked whole at start.
+
+use ironstair::Ms;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Shorter costs beats and takes pauses for ends; longer makes a change wait longer for who is gone.
+const LEASE_LEAST: Ms = 1000.0;
+const LEASE_MOST: Ms = 60_000.0;
+const NAME_MOST: usize = 64;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Charter {
+    pub fleet: String,
+    /// This gateway's name in it.
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Names of the keepers, and where each is reached from here.
+    pub keepers: BTreeMap<String, SocketAddr>,
+    pub lease: Ms,
+    /// Goes on without a lease; no change is decided without it.
+    pub steady: bool,
+    /// Where a keeper's log lies.
+    pub folder: Option<PathBuf>,
+}
+
+impl Charter {
+    pub fn is_keeper(&self) -> bool {
+        self.keepers.contains_key(&self.name)
+    }
+
+    /// # Errors
+    /// What can't be, by its field.
+    pub fn checked(self) -> Result<Self, String> {
+        let named = |field: &str, name: &str| match name.len() {
+            1..=NAME_MOST if !name.chars().any(char::is_control) => Ok(()),
+            _ => Err(format!("fleet.{field}: {name:?} is no name of 1 to {NAME_MOST} bytes")),
+        };
+        named("name", &self.fleet)?;
+        if self.name.is_empty() || self.name.len() > NAME_MOST {
+            return Err("fleet: the gateway's own name is empty or too long to be one of a fleet's".into());
+        }
+        self.keepers.keys().try_for_each(|k| named("keepers", k))?;
+        if ![3, 5].contains(&self.keepers.len()) {
+            return Err(format!("fleet.keepers: 3 or 5 are named, not {}", self.keepers.len()));
+        }
+        let twice = |at: &SocketAddr| self.keepers.values().filter(|a| *a == at).count() > 1;
+        if let Some((name, at)) = self.keepers.iter().find(|(_, at)| twice(at)) {
+            return Err(format!("fleet.keepers.{name}: {at} is another's address too"));
+        }
+        if !(LEASE_LEAST..=LEASE_MOST).contains(&self.lease) {
+            return Err(format!("fleet.lease_ms: {} is outside {LEASE_LEAST} to {LEASE_MOST}", self.lease));
+        }
+        match (self.is_keeper(), &self.folder) {
+            (true, None) => {
+                Err(format!("fleet.state: {} is a keeper, and needs a folder for its log", self.name))
+            }
+            (false, Some(_)) => {
+                Err(format!("fleet.state: {} is not among the keepers and keeps no log", self.name))
+            }
+            _ => Ok(self),
+        }
+    }
+}
--- /dev/null
+++ b/crates/muster/src/serve.rs
@@ -0,0 +1,157 @@
+//! The listener for other gateways: words are looked over and handed to the actor, whose mailbox is bounded.
+
+use crate::actor::{Asked, Hint, Mail};
+use crate::proto::fleet_server::{Fleet, FleetServer};
+use crate::proto::Word;
+use crate::way::WORD_MOST;
+use crate::FORM;
+use ironstair_accord::{Answer, Beat};
+use serde_json::Value as Json;
+use slog::{warn, Logger};
+use std::net::TcpListener as Bound;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+/// A peer that answers no ping for so long is gone.
+const PING_EVERY: Duration = Duration::from_secs(5);
+const PING_WITHIN: Duration = Duration::from_secs(5);
+const CALLS_MOST: u32 = 64;
+
+/// Who this gateway is among its fleet.
+#[derive(Clone)]
+pub struct Own {
+    pub fleet: String,
+    pub name: String,
+    pub start: u64,
+}
+
+impl Own {
+    pub fn word(&self, body: Vec<u8>) -> Word {
+        Word { form: FORM, fleet: self.fleet.clone(), from: self.name.clone(), start: self.start, body }
+    }
+
+    /// Whether a word is one for this gateway.
+    ///
+    /// # Errors
+    /// The sentence that says why not.
+    pub fn looked_over(&self, word: &Word) -> Result<(), String> {
+        if word.form != FORM {
+            return Err(format!("{} speaks form {}, {} here knows {FORM}", word.from, word.form, self.name));
+        }
+        if word.fleet != self.fleet {
+            return Err(format!(
+                "{} is of fleet {:?}, {} here of {:?}",
+                word.from, word.fleet, self.name, self.fleet
+            ));
+        }
+        if word.from == self.name && word.start != self.start {
+            return Err(format!("another process is called {} too", self.name));
+        }
+        Ok(())
+    }
+}
+
+pub struct Service {
+    own: Own,
+    mail: mpsc::Sender<Mail>,
+    log: Logger,
+    /// The last sentence on a word not taken: said once, not with each beat.
+    said: Mutex<String>,
+}
+
+impl Service {
+    fn body(&self, request: Request<Word>) -> Result<Word, Status> {
+        let word = request.into_inner();
+        self.own.looked_over(&word).map_err(|why| {
+            let mut said = self.said.lock().unwrap_or_else(PoisonError::into_inner);
+            if *said != why {
+                warn!(self.log, "a word of another gateway is not taken"; "why" => &why);
+                said.clone_from(&why);
+            }
+            Status::failed_precondition(why)
+        })?;
+        Ok(word)
+    }
+
+    async fn hand<T>(&self, mail: impl FnOnce(oneshot::Sender<T>) -> Mail) -> Result<T, Status> {
+        let (answer, told) = oneshot::channel();
+        self.mail.try_send(mail(answer)).map_err(|_| Status::resource_exhausted("too much waits here"))?;
+        told.await.map_err(|_| Status::unavailable("not the chair any more"))
+    }
+
+    fn word(&self, body: &impl serde::Serialize) -> Result<Response<Word>, Status> {
+        let body = serde_json::to_vec(body).map_err(|e| Status::internal(e.to_string()))?;
+        Ok(Response::new(self.own.word(body)))
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(word: &Word) -> Result<T, Status> {
+    serde_json::from_slice(&word.body).map_err(|e| Status::invalid_argument(format!("can't be read: {e}")))
+}
+
+#[tonic::async_trait]
+impl Fleet for Service {
+    async fn beat(&self, request: Request<Word>) -> Result<Response<Word>, Status> {
+        let word = self.body(request)?;
+        let beat: Beat = read(&word)?;
+        if (&beat.name, beat.start) != (&word.from, word.start) {
+            return Err(Status::invalid_argument("a beat in another's name"));
+        }
+        let answer: Result<Answer<Json>, Hint> = self.hand(|to| Mail::Beat(beat, to)).await?;
+        self.word(&answer)
+    }
+
+    async fn agree(&self, request: Request<Word>) -> Result<Response<Word>, Status> {
+        let word = self.body(request)?;
+        let _ = self.mail.try_send(Mail::Agree(word.from, word.body));
+        Ok(Response::new(self.own.word(Vec::new())))
+    }
+
+    async fn knock(&self, request: Request<Word>) -> Result<Response<Word>, Status> {
+        let word = self.body(request)?;
+        let number: u64 = read(&word)?;
+        let history = self.hand(|to| Mail::Knock(word.from, number, to)).await?;
+        self.word(&history)
+    }
+
+    async fn ask(&self, request: Request<Word>) -> Result<Response<Word>, Status> {
+        let word = self.body(request)?;
+        let asked: Asked = read(&word)?;
+        let answer = self.hand(|to| Mail::Ask(asked, to)).await?;
+        self.word(&answer)
+    }
+}
+
+/// Serves until the process ends.
+///
+/// # Errors
+/// The listener fails.
+pub async fn serve(bound: Bound, own: Own, mail: mpsc::Sender<Mail>, log: Logger) -> Result<(), String> {
+    let listener = TcpListener::from_std(bound).map_err(|e| e.to_string())?;
+    let service = Service { own, mail, log, said: Mutex::default() };
+    let served = FleetServer::new(service);
+    let served = served.max_decoding_message_size(WORD_MOST).max_encoding_message_size(WORD_MOST);
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(PING_EVERY))
+        .http2_keepalive_timeout(Some(PING_WITHIN))
+        .max_concurrent_streams(Some(CALLS_MOST))
+        .tcp_nodelay(true)
+        .add_service(served);
+    server.serve_with_incoming(TcpListenerStream::new(listener)).await.map_err(|e| e.to_string())
+}
+
+/// Bound before anything is started: a port in use is told at once.
+///
+/// # Errors
+/// As the system has it.
+pub fn bind(at: std::net::SocketAddr) -> Result<Bound, String> {
+    let fault = |e: std::io::Error| format!("fleet.listen: {at}: {e}");
+    let bound = Bound::bind(at).map_err(fault)?;
+    bound.set_nonblocking(true).map_err(fault)?;
+    Ok(bound)
+}
--- a/crates/tree/src/state.rs
+++ b/crates/tree/src/state.rs
@@ -64,6 +64,38 @@
     pub ending: bool,
 }
 
+/// What a gateway knows of its fleet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fleet {
+    pub name: String,
+    /// Of the history, 0 before there is one; and of the revision that it holds.
+    pub history: u64,
+    pub revision: u64,
+    /// Until when it may decide by that.
+    pub until: Ms,
+    pub steady: bool,
+    pub keeper: bool,
+    /// Empty where none is known.
+    pub chair: String,
+}
+
+/// The leaves with those of the fleet.
+pub fn fleet(leaves: &Leaves, is: &Fleet) -> Leaves {
+    let mut new = leaves.clone();
+    let mut n = at(&mut new, [step("fleet", None)]);
+    n.text("name", &is.name);
+    n.text("history", &format!("{:016x}", is.history));
+    n.wide("revision", is.revision);
+    n.set("held-until", moment(is.until.min(MOMENT_MOST)));
+    n.text("cut-off", if is.steady { "steady" } else { "strict" });
+    n.set("keeper", Value::Bool(is.keeper));
+    n.text("chair", &is.chair);
+    new
+}
+
+/// Far beyond what any clock says: a lease without an end.
+const MOMENT_MOST: Ms = 1e15;
+
 fn moment(at: Ms) -> Value {
     Value::Wide(at.max(0.0) as u64)
 }
