--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod link;
 pub mod oracle;
 pub mod rig;
+pub mod schedule;
 pub mod stand;
--- a/crates/fleet/src/oracle.rs
+++ b/crates/fleet/src/oracle.rs
@@ -129,6 +129,13 @@
         found
     }
 
+    /// How many of that kind one client had.
+    pub fn answers_of(&self, of: usize, kind: What) -> usize {
+        let hit =
+            |s: &Seen| matches!(s, Seen::Answered { client, what, .. } if *client == of && *what == kind);
+        self.lines().iter().filter(|l| hit(&l.1)).count()
+    }
+
     /// Calls without an answer on connections that stand.
     pub fn open(&self) -> usize {
         owed(&self.lines()).len()
--- a/crates/fleet/src/stand.rs
+++ b/crates/fleet/src/stand.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -125,9 +125,11 @@
 
 /// Addresses of this test run alone: a port that is free now may be another's a moment later.
 pub fn own_address() -> SocketAddr {
-    static NTH: AtomicU8 = AtomicU8::new(1);
+    static NTH: AtomicU32 = AtomicU32::new(0);
     let (pid, nth) = (std::process::id(), NTH.fetch_add(1, Ordering::Relaxed));
-    SocketAddr::from(([127, 64 + (pid >> 8 & 63) as u8, pid as u8, nth], 8080))
+    // Hundreds of processes in one run: then other ports, of which each may use three.
+    let port = 8080 + 3 * (nth / 250) as u16;
+    SocketAddr::from(([127, 64 + (pid >> 8 & 63) as u8, pid as u8, 1 + (nth % 250) as u8], port))
 }
 
 pub fn gateway(test: &str, engines: &[(&str, SocketAddr)]) -> Gateway {
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -248,6 +248,40 @@
         assert!(decode(b"{}").unwrap().management.is_none());
     }
 
+    fn fleet(management: &str, fleet: &str) -> String {
+        let management = match management {
+            "" => String::new(),
+            more => format!(r#""management": {{"listen": "127.0.0.1:1"{more}}}, "#),
+        };
+        let keepers = r#""keepers": {"a": "127.0.0.1:2", "b": "127.0.0.1:3", "c": "127.0.0.1:4"}"#;
+        format!(r#"{{{management}"fleet": {{"name": "f", "listen": "127.0.0.1:2", {keepers}, {fleet}}}}}"#)
+    }
+
+    #[test]
+    fn a_fleet_is_checked_whole_and_the_platform_runs_without_one() {
+        // Against a gateway that is half in a fleet, and one that is in one by accident.
+        let read = |more: &str| decode(fleet(r#", "streams": 1"#, more).as_bytes()).unwrap().fleet.unwrap();
+        let keeper = charter(&read(r#""state": "s""#), "a").unwrap();
+        assert_eq!((keeper.lease, keeper.steady, keeper.is_keeper()), (3000.0, false, true));
+        assert!(!charter(&read(r#""cut_off": "steady""#), "d").unwrap().is_keeper());
+        for (more, name, why) in [
+            (r#""lease_ms": 999"#, "d", "fleet.lease_ms: 999"),
+            (r#""state": "s""#, "d", "fleet.state: d is not among the keepers"),
+            (r#""lease_ms": 3000"#, "a", "fleet.state: a is a keeper"),
+            (r#""lease_ms": 3000"#, "", "fleet: the gateway's own name"),
+        ] {
+            let told = charter(&read(more), name).unwrap_err();
+            assert!(told.starts_with(why), "{more}: {told}");
+        }
+        let mut two = read(r#""state": "s""#);
+        two.keepers.insert("c".into(), two.keepers["b"]);
+        assert!(charter(&two, "a").unwrap_err().starts_with("fleet.keepers.b: 127.0.0.1:3 is another's"));
+        two.keepers.remove("c");
+        assert_eq!(charter(&two, "a").unwrap_err(), "fleet.keepers: 3 or 5 are named, not 2");
+        let platform = include_str!("../../../deploy/balancer.toml");
+        assert!(platform.contains("ironstair serve") && !platform.contains("operator"));
+    }
+
     #[test]
     fn what_is_wrong_is_told_by_its_field() {
         for (text, why) in [
@@ -280,6 +314,10 @@
                 "cells: /settings/cells/tenant[name=t]/cell: a tenant",
             ),
             (r#"{"cells": {"names": {"a": 1}, "without": {"lend": 2}}}"#, "cells.without: is no"),
+            (r#"{"fleet": {}}"#, "fleet: missing field `name`"),
+            (&fleet("", r#""lease_ms": 3000"#), "fleet: it is shown and changed by management"),
+            (&fleet(r#", "state": "s""#, r#""lease_ms": 3000"#), "management.state: in a fleet"),
+            (&fleet(r#", "streams": 1"#, r#""cut_off": "maybe""#), "fleet.cut_off: unknown variant"),
             ("{} {}", "trailing characters"),
         ] {
             let told = decode(text.as_bytes()).unwrap_err();
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -34,6 +34,8 @@
 const UNDER_WAY: usize = 64;
 /// The whole state is sent once more after this, in ms.
 const WHOLE_WITHIN: Ms = 2000.0;
+/// How long a blank keeper's word holds: it says it again as long as it is blank.
+const KNOCK_HOLDS: Ms = 3000.0;
 /// Beats that wait for a quorum's word.
 const BEATS_MOST: usize = 4096;
 
@@ -92,7 +94,8 @@
     beats: Vec<(u64, Beat)>,
     asked: Option<Question>,
     questions: u64,
-    knocking: BTreeMap<String, u64>,
+    /// Numbers that blank keepers gave, and when they last did.
+    knocking: BTreeMap<String, (u64, Ms)>,
     /// Since when a keeper is being sent the whole state.
     whole_sent: BTreeMap<u64, Ms>,
     /// Who last spoke to this keeper while it was blank.
@@ -216,7 +219,7 @@
     pub fn knocked(&mut self, name: String, id: u64) {
         let named = self.state.voters.contains_key(&name) || self.knocking.len() < UNDER_WAY;
         if named && self.state.voters.get(&name) != Some(&id) {
-            self.knocking.insert(name, id);
+            self.knocking.insert(name, (id, self.now));
         }
     }
 
@@ -363,11 +366,13 @@
     /// One keeper at a time: first it learns the log, then it votes in place of the number it had.
     fn let_in(&mut self) {
         let State { voters, joining, .. } = &self.state;
-        self.knocking.retain(|name, id| voters.get(name) != Some(id));
+        // Against a number given long ago: nobody bears it any more, and it would stand in everybody's way.
+        let now = self.now;
+        self.knocking.retain(|name, (id, at)| voters.get(name) != Some(id) && now < *at + KNOCK_HOLDS);
         if self.node.raft.has_pending_conf() {
             return;
         }
-        let Some((name, id)) = self.knocking.iter().next().map(|(n, i)| (n.clone(), *i)) else { return };
+        let Some((name, id)) = self.knocking.iter().next().map(|(n, i)| (n.clone(), i.0)) else { return };
         let known = joining.get(&name) == Some(&id);
         let matched = self.node.raft.prs().get(id).map_or(0, |p| p.matched);
         let votes = known && matched + 1 >= self.node.raft.raft_log.committed;
--- /dev/null
+++ b/crates/keeper/tests/knock.rs
@@ -0,0 +1,39 @@
+//! Who is let in among the keepers.
+
+use ironstair_accord::Policy;
+use ironstair_keeper::{Keeper, Out, TICK};
+use serde::{Deserialize, Serialize};
+use slog::{o, Discard, Logger};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Pol(u8);
+
+impl Policy for Pol {
+    fn stricter(&self, _: &Self) -> Option<Self> {
+        Some(self.clone())
+    }
+}
+
+/// A keeper alone, once it is the chair; whom it lets in that knocked so long before.
+fn joining(before: f64) -> Vec<String> {
+    let image = Keeper::begin("a", 1, 7, Pol(1)).unwrap();
+    let log = Logger::root(Discard, o!());
+    let mut keeper: Keeper<Pol> = Keeper::open("a", 0, 1000.0, &image, 0.0, &log).unwrap();
+    keeper.knocked("b".into(), 99);
+    let mut now = before;
+    for _ in 0..40 {
+        now += TICK;
+        let mut outs = keeper.tick(now);
+        while outs.iter().any(|o| matches!(o, Out::Save(_))) {
+            outs = keeper.saved(now);
+        }
+    }
+    assert!(keeper.chair().is_some());
+    keeper.state().joining.keys().cloned().collect()
+}
+
+#[test]
+fn a_number_given_long_ago_is_not_let_in() {
+    // Against a keeper that began a history, or lost its disk again: its old number stood in everybody's way for good.
+    assert_eq!((joining(0.0), joining(4000.0)), (vec!["b".to_string()], vec![]));
+}
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -27,6 +27,7 @@
 use std::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep, MissedTickBehavior};
+use tonic::Code;
 
 /// What may wait for the actor.
 const MAILBOX: usize = 1024;
@@ -73,8 +74,8 @@
     /// A keeper and its voter's number, or 0 where it asks for the history alone.
     Knock(String, u64, oneshot::Sender<u64>),
     Ask(Asked, oneshot::Sender<Told>),
-    /// A beat of this gateway came back, and from whom.
-    Answered(Option<(String, Answer<Json>)>),
+    /// A beat of this gateway came back, and from whom; or why not.
+    Answered(Result<(String, Answer<Json>), String>),
     Held(u64, Result<(), String>),
     Examined(u64, Result<(), String>),
     Saved(Box<Saved>),
@@ -160,6 +161,8 @@
     beats: usize,
     pending: Vec<Pending>,
     leaving: Option<oneshot::Sender<()>>,
+    /// Why no chair answered, as last said.
+    unheard: String,
     /// Whether it was said that a lease is held.
     held: bool,
     /// The revisions as last told to the log.
@@ -222,6 +225,7 @@
             beats: 0,
             pending: Vec::new(),
             leaving: None,
+            unheard: String::new(),
             held: false,
             lines: VecDeque::new(),
         };
@@ -289,9 +293,17 @@
             Mail::Ask(asked, to) => self.asked(asked, to),
             Mail::Answered(answer) => {
                 self.beats -= 1;
-                if let Some((by, answer)) = answer {
-                    self.speaks_to = Some(by);
-                    self.told(answer);
+                match answer {
+                    Ok((by, answer)) => {
+                        (self.speaks_to, self.unheard) = (Some(by), String::new());
+                        self.told(answer);
+                    }
+                    // Once, not with each beat.
+                    Err(why) if why != self.unheard => {
+                        warn!(self.log, "no keeper answers as the fleet's chair"; "why" => &why);
+                        self.unheard = why;
+                    }
+                    Err(_) => {}
                 }
             }
             Mail::Held(mark, how) => {
@@ -597,7 +609,8 @@
                 return Err("the fleet has a history".into());
             };
             let mut archive = k.archive.take().ok_or("the disk is being written")?;
-            let image = Keeper::begin(&self.charter.name, drawn(), drawn(), document)?;
+            // Under the number that it has given to others already.
+            let image = Keeper::begin(&self.charter.name, archive.image().id, drawn(), document)?;
             let begun = archive.begin(image);
             self.kept = None;
             self.keep(archive).and(begun)
@@ -632,7 +645,7 @@
         let ask = match asked {
             Asked::Ask(ask) => ask,
             Asked::Show => {
-                let shown = shown::fleet(now, &self.charter.name, k.keeper.state(), chair);
+                let shown = shown::fleet(now, &self.charter.name, &k.keeper, chair);
                 return drop(to.send(Told::Shown(shown)));
             }
         };
@@ -813,15 +826,20 @@
         later.or(self.ways.keys().next()).cloned()
     }
 
-    async fn beat(self, word: Word, within: Ms) -> Option<(String, Answer<Json>)> {
+    async fn beat(self, word: Word, within: Ms) -> Result<(String, Answer<Json>), String> {
         let until = self.clock.now() + within;
-        let mut to = self.first.clone().or(self.next(None))?;
+        let mut why = "there is no chair".to_string();
+        let Some(mut to) = self.first.clone().or(self.next(None)) else { return Err(why) };
         while self.clock.now() < until {
             let each = (self.lease / 6.0).min(until - self.clock.now());
             let said = self.ways[&to].beat(word.clone(), each).await;
+            // A sentence of the other side's is worth more than that nobody is there.
+            if let Some(e) = said.as_ref().err().filter(|e| e.code() == Code::FailedPrecondition) {
+                why = e.message().to_string();
+            }
             let read = said.ok().map(|w| serde_json::from_slice::<Result<Answer<Json>, Hint>>(&w.body));
             to = match read {
-                Some(Ok(Ok(answer))) => return Some((to, answer)),
+                Some(Ok(Ok(answer))) => return Ok((to, answer)),
                 Some(Ok(Err(Hint { chair: Some(chair) })))
                     if chair != to && self.ways.contains_key(&chair) =>
                 {
@@ -829,11 +847,11 @@
                 }
                 _ => {
                     sleep(span(LOOK_AGAIN)).await;
-                    self.next(Some(&to))?
+                    self.next(Some(&to)).unwrap_or(to)
                 }
             };
         }
-        None
+        Err(why)
     }
 
     /// Here first: this keeper may be the chair.
--- a/crates/muster/src/shown.rs
+++ b/crates/muster/src/shown.rs
@@ -4,7 +4,7 @@
 use ironstair_accord::fleet::{Change, Step};
 use ironstair_accord::record::{Line, Seat};
 use ironstair_accord::{Chair, Fleet};
-use ironstair_keeper::State;
+use ironstair_keeper::Keeper;
 use serde_json::{json, Value as Json};
 
 fn member(now: Ms, fleet: &Fleet<Json>, chair: &Chair<Json>, (name, seat): (&String, &Seat)) -> Json {
@@ -49,7 +49,8 @@
 }
 
 /// All of it, at the chair.
-pub fn fleet(now: Ms, name: &str, state: &State<Json>, chair: &Chair<Json>) -> Json {
+pub fn fleet(now: Ms, name: &str, keeper: &Keeper<Json>, chair: &Chair<Json>) -> Json {
+    let state = keeper.state();
     let f = &state.fleet;
     json!({
         "history": format!("{:016x}", f.history),
@@ -57,6 +58,7 @@
         "chair": name,
         "keepers": state.voters.keys().collect::<Vec<_>>(),
         "joining": state.joining.keys().collect::<Vec<_>>(),
+        "replacing": keeper.replacing(),
         "change": f.change.as_ref().map(|c| change(now, f, chair, c)),
         "unconfirmed": f.trial.as_ref().map(|t| &t.id),
         "members": f.members.iter().map(|m| member(now, f, chair, m)).collect::<Vec<_>>(),
