A slow way is no lost one: the chair is searched for at all keepers at once, nobody is given up for being slow

Now the last chair is asked alone first, then all keepers together, each again once it has said that it is not the chair; what comes within the lease counts; one search at a time where no chair is known. The library's bytes go out without waiting for the answer to those before. The schedule's stop waits until the process listens.

A bench for what a fleet costs (not run yet).

--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -388,6 +388,16 @@
         self.gates.iter().flat_map(|g| g.links.values()).for_each(Link::heal);
     }
 
+    /// Of a gateway's process; 0 where there is none.
+    pub fn pid(&self, g: usize) -> u32 {
+        self.gates[g].process.as_ref().map_or(0, Child::id)
+    }
+
+    /// Bytes over the links that a gateway opened, there and back.
+    pub fn passed(&self, g: usize) -> u64 {
+        self.gates[g].links.values().map(|l| l.passed()).map(|(there, back)| there + back).sum()
+    }
+
     /// What a gateway wrote to its log.
     pub fn log(&self, g: usize) -> String {
         fs::read_to_string(self.gates[g].dir.join("log")).unwrap_or_default()
@@ -403,6 +413,7 @@
 
     /// One gateway's client asks no more, and has all its answers.
     pub fn quiet(&mut self, g: usize) {
+        until("it listens", || TcpStream::connect(self.gates[g].at).is_ok());
         self.loads[g].paused.store(true, Relaxed);
         let load = &self.loads[g];
         until("its client is quiet", || load.open.load(Relaxed) == 0);
--- /dev/null
+++ b/crates/gateway/benches/fleet.rs
@@ -0,0 +1,235 @@
+//! What a fleet costs and how long its changes take, with processes of the built gateway on loopback between
+//! stand-ins: `cargo bench -p ironstair-gateway --bench fleet`. Its keepers' part alone at 100 and 300 members, too.
+
+use ironstair_accord::member::{Action, Input};
+use ironstair_accord::Member;
+use ironstair_fleet::oracle::What;
+use ironstair_fleet::rig::{until, Plan, Rig};
+use ironstair_keeper::{Keeper, Out, TICK};
+use serde_json::{json, Value};
+use slog::{o, Discard, Logger};
+use std::time::{Duration, Instant};
+
+const FORWARDS: &str = "/settings/forwards-most";
+const CHANGES: usize = 12;
+const LEASE: u32 = 3000;
+
+fn quantile(all: &mut [f64], q: f64) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all[((all.len() - 1) as f64 * q).round() as usize]
+}
+
+fn timed(rig: &Rig, at: usize, changes: usize) -> Vec<f64> {
+    let one = |nth: usize| {
+        let value = (2 + nth % 5).to_string();
+        let since = Instant::now();
+        let said = rig.set(at, &[FORWARDS, &value]);
+        assert_eq!(said.code, 0, "{said:?}");
+        since.elapsed().as_secs_f64() * 1000.0
+    };
+    (0..changes).map(one).collect()
+}
+
+/// When a gateway took over settings, in ms of the day, by its log.
+fn taken_over(log: &str) -> Vec<f64> {
+    let lines = log.lines().filter(|l| l.contains("settings changed"));
+    let at = lines.filter_map(|l| {
+        let clock: Vec<f64> = l.split(' ').nth(2)?.split(':').filter_map(|p| p.parse().ok()).collect();
+        Some(clock[0] * 3.6e6 + clock[1] * 6e4 + clock[2] * 1e3)
+    });
+    at.collect()
+}
+
+/// Of the last changes: the longest between the first and the last that took a step over, and the least time by
+/// which the last that took over the stricter of both was before the first that took over the new.
+fn side_by_side(rig: &Rig, gateways: usize, changes: usize) -> (f64, f64) {
+    let all: Vec<Vec<f64>> = (0..gateways).map(|g| taken_over(&rig.log(g))).collect();
+    let step = |back: usize| -> (f64, f64) {
+        let at = all.iter().map(|t| t[t.len() - back]);
+        at.fold((f64::INFINITY, 0.0), |a, t| (a.0.min(t), a.1.max(t)))
+    };
+    let steps: Vec<((f64, f64), (f64, f64))> =
+        (1..=changes).map(|c| (step(2 * c), step(2 * c - 1))).collect();
+    let widest = steps.iter().flat_map(|s| [s.0 .1 - s.0 .0, s.1 .1 - s.1 .0]).fold(0.0, f64::max);
+    (widest, steps.iter().map(|s| s.1 .0 - s.0 .1).fold(f64::INFINITY, f64::min))
+}
+
+/// Seconds of processor that a process has used.
+fn processor(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    (fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap()) / 100.0
+}
+
+fn changes_and_idle() {
+    println!("| processes | set to held everywhere, p50 / p99, ms | one cut off, ms | a step's first to last, ms | last old to first new, ms |");
+    let mut idle = Vec::new();
+    for gateways in [3, 10, 30] {
+        let plan = Plan { gateways, lease_ms: LEASE, ..Plan::default() };
+        let rig = Rig::started(&format!("bench-{gateways}"), &plan);
+        let mut took = timed(&rig, gateways - 1, CHANGES);
+        let (widest, between) = side_by_side(&rig, gateways, CHANGES);
+        let chair = rig.chair();
+        let keeper = (0..3).find(|k| *k != chair).unwrap();
+        let member = gateways - 1;
+        let of = |g: usize| (processor(rig.pid(g)), rig.passed(g));
+        let (before, span) = ([of(chair), of(keeper), of(member)], Duration::from_secs(10));
+        std::thread::sleep(span);
+        let after = [of(chair), of(keeper), of(member)];
+        for (who, (a, b)) in ["chair", "keeper", "member"].iter().zip(before.iter().zip(&after)) {
+            let s = span.as_secs_f64();
+            idle.push(format!(
+                "| {gateways} | {who} | {:.2} | {:.0} |",
+                (b.0 - a.0) / s * 100.0,
+                (b.1 - a.1) as f64 / s
+            ));
+        }
+        rig.cut_off(if chair == member { keeper } else { member }, true, true);
+        let mut cut = timed(&rig, chair, 3);
+        rig.heal();
+        println!(
+            "| {gateways} | {:.0} / {:.0} | {:.0} | {widest:.0} | {between:.0} |",
+            quantile(&mut took, 0.5),
+            quantile(&mut took, 0.99),
+            quantile(&mut cut, 0.5),
+        );
+    }
+    println!("\n| processes | idle | processor, % of a core | bytes a second over the links it opened |");
+    idle.iter().for_each(|l| println!("{l}"));
+}
+
+/// No operator's section at all.
+fn alone(_: usize, _: &mut Value, operator: &mut Value) {
+    *operator = json!({});
+}
+
+fn without_fleet(test: &str) -> Rig {
+    let mut rig = Rig::laid_out(test, &Plan { gateways: 3, edit: Some(alone), ..Plan::default() });
+    (0..3).for_each(|g| rig.start(g));
+    (0..3).for_each(|g| rig.until_fit(g));
+    rig
+}
+
+fn with_fleet(test: &str) -> Rig {
+    Rig::started(test, &Plan { gateways: 3, lease_ms: LEASE, ..Plan::default() })
+}
+
+fn shares() {
+    let share = |rig: &mut Rig| {
+        rig.until_answers(What::Settled, 100);
+        let answers = rig.over();
+        let all: usize = answers.values().sum();
+        (all - answers.get(&What::Settled).copied().unwrap_or(0), all)
+    };
+    let mut fleet = with_fleet("bench-lost");
+    fleet.load();
+    timed(&fleet, 1, 5);
+    let (back, all) = share(&mut fleet);
+    println!("\nNot settled of all while five changes were made: a fleet {back} of {all}");
+    let mut alone = without_fleet("bench-sighup");
+    alone.load();
+    for value in 2..7 {
+        for g in 0..3 {
+            alone.retell(g, |told| told["settings"]["policy_limits"]["max_attempts"] = json!(value));
+            let seen = value as usize - 1;
+            until("it holds", || alone.log(g).matches("new settings hold").count() >= seen);
+        }
+    }
+    let (back, all) = share(&mut alone);
+    println!("SIGHUP, one gateway after the other: {back} of {all}");
+}
+
+fn cost_of_a_call() {
+    let (mut on, mut off) = (with_fleet("bench-on"), without_fleet("bench-off"));
+    let mut ratios = Vec::new();
+    for _ in 0..5 {
+        let cost = |rig: &mut Rig| {
+            rig.load();
+            rig.until_answers(What::Settled, 50);
+            let (had, used) = (rig.book.answers()[&What::Settled], processor(rig.pid(1)));
+            rig.until_answers(What::Settled, 2500);
+            let (has, uses) = (rig.book.answers()[&What::Settled], processor(rig.pid(1)));
+            rig.over();
+            // Three gateways serve alike.
+            (uses - used) / (has - had) as f64 * 3.0 * 1e6
+        };
+        let (with, without) = (cost(&mut on), cost(&mut off));
+        println!("processor for a call: {with:.0} us in a fleet, {without:.0} us alone");
+        ratios.push(with / without);
+    }
+    println!("ratio, median of five pairs: {:.2}", quantile(&mut ratios, 0.5));
+}
+
+/// A chair alone with so many members that beat, in virtual time: its processor for a second of that.
+fn keeper_alone(members: usize) {
+    let policy = json!({"band": []});
+    let image = Keeper::begin("a", 1, 7, policy).unwrap();
+    let log = Logger::root(Discard, o!());
+    let lease = LEASE as f64;
+    let mut keeper: Keeper<Value> = Keeper::open("a", 0, lease, &image, 0.0, &log).unwrap();
+    let mut all: Vec<Member> =
+        (0..members).map(|m| Member::new(&format!("g{m}"), m as u64 + 1, false, lease)).collect();
+    let (mut now, mut bytes, mut beats, mut since) = (0.0, 0usize, 0usize, Instant::now());
+    let seconds = 60.0;
+    while now < 20_000.0 + seconds * 1000.0 {
+        if (now - 20_000.0f64).abs() < TICK / 2.0 {
+            (bytes, beats, since) = (0, 0, Instant::now());
+        }
+        now += TICK;
+        let mut outs = keeper.tick(now);
+        for (m, member) in all.iter_mut().enumerate() {
+            for action in member.on::<Value>(now, Input::Due) {
+                if let Action::Beat(beat) = action {
+                    beats += 1;
+                    bytes += serde_json::to_vec(&beat).unwrap().len();
+                    outs.extend(keeper.beat(now, m as u64, beat));
+                }
+            }
+        }
+        while !outs.is_empty() {
+            let mut next = Vec::new();
+            for out in outs {
+                match out {
+                    Out::Save(_) => next.extend(keeper.saved(now)),
+                    Out::Answer(m, answer) => {
+                        bytes += serde_json::to_vec(&answer).unwrap().len();
+                        let member = &mut all[m as usize];
+                        for action in member.on(now, Input::Answered(answer)) {
+                            if let Action::Apply { mark, .. } = action {
+                                member.on::<Value>(now, Input::Applied { mark });
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            outs = next;
+        }
+    }
+    let held = all.iter().filter(|m| m.holds(now)).count();
+    let used = since.elapsed().as_secs_f64() / seconds * 100.0;
+    println!(
+        "| {members} | {held} | {:.1} | {:.0} | {used:.2} |",
+        beats as f64 / seconds,
+        bytes as f64 / seconds
+    );
+}
+
+fn main() {
+    // Cargo hands flags of its own to a bench.
+    let only = std::env::args().skip(1).find(|a| !a.starts_with('-'));
+    let wanted = |name: &str| only.as_ref().is_none_or(|o| o == name);
+    if wanted("changes") {
+        changes_and_idle();
+    }
+    if wanted("shares") {
+        shares();
+    }
+    if wanted("call") {
+        cost_of_a_call();
+    }
+    if wanted("keeper") {
+        println!("\n| members | with a lease | beats a second | bytes a second, of beats and answers | processor, % of a core |");
+        [10, 100, 300].into_iter().for_each(keeper_alone);
+    }
+}
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -26,6 +26,7 @@
 use std::hash::{BuildHasher, Hasher};
 use std::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, MissedTickBehavior};
 use tonic::Code;
 
@@ -38,7 +39,9 @@
 const KNOCK_EVERY: Ms = 500.0;
 /// How long a disk that took nothing is left alone.
 const DISK_AGAIN: Ms = 500.0;
-/// Between two tries to find the chair.
+/// While no chair is known each keeper is asked so often in a lease.
+const LOOKS: f64 = 10.0;
+/// Between two tries to find the chair for what an operator asks.
 const LOOK_AGAIN: Ms = 50.0;
 /// How long an operator waits for what becomes of a change, in leases and at least.
 const OUTCOME_LEASES: f64 = 5.0;
@@ -293,18 +296,22 @@
             Mail::Ask(asked, to) => self.asked(asked, to),
             Mail::Answered(answer) => {
                 self.beats -= 1;
+                let lost = answer.is_err();
                 match answer {
                     Ok((by, answer)) => {
                         (self.speaks_to, self.unheard) = (Some(by), String::new());
                         self.told(answer);
                     }
                     // Once, not with each beat.
-                    Err(why) if why != self.unheard => {
+                    Err(why) if !self.member.holds(now) && why != self.unheard => {
                         warn!(self.log, "no keeper answers as the fleet's chair"; "why" => &why);
                         self.unheard = why;
                     }
                     Err(_) => {}
                 }
+                if lost {
+                    self.speaks_to = None;
+                }
             }
             Mail::Held(mark, how) => {
                 self.act(match how {
@@ -427,17 +434,16 @@
         if here {
             return self.beat(beat, Waits::Own);
         }
-        if self.beats >= BEATS_MOST {
+        // One search at a time: while no keeper is the chair, hundreds of members would ask for it together.
+        if self.beats >= if self.chair().is_some() { BEATS_MOST } else { 1 } {
             return;
         }
         self.beats += 1;
         let body = serde_json::to_vec(&beat).unwrap_or_default();
         let (search, post) = (self.search(), self.post.clone());
         let word = self.own.word(body);
-        // An answer after a lease is none: the next beat is under way by then.
-        let within = self.charter.lease / 2.0;
         tokio::spawn(async move {
-            let found = search.beat(word, within).await;
+            let found = search.beat(word).await;
             let _ = post.send(Mail::Answered(found)).await;
         });
     }
@@ -826,30 +832,41 @@
         later.or(self.ways.keys().next()).cloned()
     }
 
-    async fn beat(self, word: Word, within: Ms) -> Result<(String, Answer<Json>), String> {
-        let until = self.clock.now() + within;
+    /// The last chair alone first; then all keepers, each asked anew once it has said that it is not the chair. Nobody
+    /// is given up for being slow: what comes within the lease counts.
+    async fn beat(self, word: Word) -> Result<(String, Answer<Json>), String> {
+        let (lease, until) = (self.lease, self.clock.now() + self.lease);
         let mut why = "there is no chair".to_string();
-        let Some(mut to) = self.first.clone().or(self.next(None)) else { return Err(why) };
-        while self.clock.now() < until {
-            let each = (self.lease / 6.0).min(until - self.clock.now());
-            let said = self.ways[&to].beat(word.clone(), each).await;
+        let ask = |to: &String, within: Ms, after: Ms| {
+            let (way, to, word) = (self.ways[to].clone(), to.clone(), word.clone());
+            async move {
+                sleep(span(after)).await;
+                (to, way.beat(word, within).await)
+            }
+        };
+        let mut asked = JoinSet::new();
+        match &self.first {
+            Some(first) => drop(asked.spawn(ask(first, lease / 2.0, 0.0))),
+            None => self.ways.keys().for_each(|to| drop(asked.spawn(ask(to, lease, 0.0)))),
+        }
+        while let Some(Ok((to, said))) = asked.join_next().await {
             // A sentence of the other side's is worth more than that nobody is there.
             if let Some(e) = said.as_ref().err().filter(|e| e.code() == Code::FailedPrecondition) {
                 why = e.message().to_string();
             }
             let read = said.ok().map(|w| serde_json::from_slice::<Result<Answer<Json>, Hint>>(&w.body));
-            to = match read {
-                Some(Ok(Ok(answer))) => return Ok((to, answer)),
-                Some(Ok(Err(Hint { chair: Some(chair) })))
-                    if chair != to && self.ways.contains_key(&chair) =>
-                {
-                    chair
-                }
-                _ => {
-                    sleep(span(LOOK_AGAIN)).await;
-                    self.next(Some(&to)).unwrap_or(to)
-                }
-            };
+            if let Some(Ok(Ok(answer))) = read {
+                return Ok((to, answer));
+            }
+            let left = until - self.clock.now();
+            if left <= 0.0 {
+                break;
+            }
+            if asked.is_empty() && self.first.as_ref() == Some(&to) {
+                self.ways.keys().for_each(|to| drop(asked.spawn(ask(to, left, 0.0))));
+            } else {
+                asked.spawn(ask(&to, left, lease / LOOKS));
+            }
         }
         Err(why)
     }
--- a/crates/muster/src/way.rs
+++ b/crates/muster/src/way.rs
@@ -6,14 +6,16 @@
 use ironstair::Ms;
 use ironstair_mail::clock::span;
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
+use std::sync::Arc;
+use tokio::sync::{mpsc, Semaphore};
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status};
 
-/// Messages of the agreement library that may wait for a keeper, and how long one may be under way.
+/// Messages of the agreement library that may wait for a keeper, that may be under way to it, and for how long.
 const WAITING: usize = 128;
-const AGREE_WITHIN: Ms = 500.0;
+const UNDER_WAY: usize = 32;
+const AGREE_WITHIN: Ms = 2000.0;
 const CONNECT_WITHIN: Ms = 500.0;
 /// A connection on which no ping comes back for so long is a broken one.
 const PING_EVERY: Ms = 1000.0;
@@ -74,11 +76,16 @@
     how.map(tonic::Response::into_inner)
 }
 
-async fn pass_on(mut client: FleetClient<Channel>, mut waiting: mpsc::Receiver<Word>) {
+/// In their order, and without waiting for the answer to one before the next: a way that takes long carries as many.
+async fn pass_on(client: FleetClient<Channel>, mut waiting: mpsc::Receiver<Word>) {
+    let under_way = Arc::new(Semaphore::new(UNDER_WAY));
     while let Some(word) = waiting.recv().await {
-        if timeout(span(AGREE_WITHIN), client.agree(word)).await.is_err() {
-            // What waited meanwhile is as old: the library sends anew.
-            while waiting.try_recv().is_ok() {}
-        }
+        // A peer that takes nothing is sent nothing more: the library says it anew.
+        let Ok(place) = under_way.clone().try_acquire_owned() else { continue };
+        let mut client = client.clone();
+        tokio::spawn(async move {
+            let _ = timeout(span(AGREE_WITHIN), client.agree(word)).await;
+            drop(place);
+        });
     }
 }
