--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -343,6 +343,9 @@
         if !self.node.raft.commit_to_current_term() {
             return;
         }
+        // Their members ask again.
+        let lost = self.asked.take().into_iter().flat_map(|a| a.beats);
+        self.out.extend(lost.map(|(token, _)| Out::NotChair(token, None)));
         self.questions += 1;
         let beats = std::mem::take(&mut self.beats);
         self.asked = Some(Question { nth: self.questions, since: self.now, beats });
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -245,6 +245,8 @@
         let keeper = Keeper::open(name, place, lease, archive.image(), now, &self.log)?;
         let history = keeper.state().fleet.history;
         info!(self.log, "a keeper of the fleet's log"; "history" => format!("{history:016x}"));
+        // Beats that an earlier one was to answer find nobody, and are sent again.
+        self.answers.clear();
         // Only what comes to pass from now on is news.
         self.lines.clone_from(&keeper.state().fleet.lines);
         let archive = Some(archive);
--- a/crates/muster/src/serve.rs
+++ b/crates/muster/src/serve.rs
@@ -9,11 +9,16 @@
 use serde_json::Value as Json;
 use slog::{warn, Logger};
 use std::net::TcpListener as Bound;
-use std::sync::{Mutex, PoisonError};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
-use tokio_stream::wrappers::TcpListenerStream;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::StreamExt;
+use tonic::transport::server::Connected;
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
 
@@ -21,6 +26,10 @@
 const PING_EVERY: Duration = Duration::from_secs(5);
 const PING_WITHIN: Duration = Duration::from_secs(5);
 const CALLS_MOST: u32 = 64;
+/// Connections at once: a member has one to each keeper.
+const CONNECTIONS_MOST: usize = 1024;
+/// Without a free descriptor: how long until the next try.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(50);
 
 /// Who this gateway is among its fleet.
 #[derive(Clone)]
@@ -127,6 +136,50 @@
     }
 }
 
+/// One connection, with its place among those that there may be.
+struct Link {
+    to: TcpStream,
+    _room: OwnedSemaphorePermit,
+}
+
+impl Connected for Link {
+    type ConnectInfo = ();
+    fn connect_info(&self) {}
+}
+
+impl AsyncRead for Link {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, b: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.to).poll_read(cx, b)
+    }
+}
+
+impl AsyncWrite for Link {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, b: &[u8]) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.to).poll_write(cx, b)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.to).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.to).poll_shutdown(cx)
+    }
+}
+
+async fn accept(listener: TcpListener, to: mpsc::Sender<Link>) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+    loop {
+        let Ok(room) = places.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(NO_DESCRIPTOR).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        if to.send(Link { to: stream, _room: room }).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Serves until the process ends.
 ///
 /// # Errors
@@ -140,9 +193,11 @@
         .http2_keepalive_interval(Some(PING_EVERY))
         .http2_keepalive_timeout(Some(PING_WITHIN))
         .max_concurrent_streams(Some(CALLS_MOST))
-        .tcp_nodelay(true)
         .add_service(served);
-    server.serve_with_incoming(TcpListenerStream::new(listener)).await.map_err(|e| e.to_string())
+    let (to, links) = mpsc::channel(1);
+    tokio::spawn(accept(listener, to));
+    let links = ReceiverStream::new(links).map(Ok::<Link, std::io::Error>);
+    server.serve_with_incoming(links).await.map_err(|e| e.to_string())
 }
 
 /// Bound before anything is started: a port in use is told at once.
--- a/crates/muster/src/way.rs
+++ b/crates/muster/src/way.rs
@@ -21,7 +21,7 @@
 const PING_EVERY: Ms = 1000.0;
 const PING_WITHIN: Ms = 1000.0;
 /// Of one word: a whole log's state with hundreds of members is below a megabyte.
-pub const WORD_MOST: usize = 32 << 20;
+pub const WORD_MOST: usize = 8 << 20;
 
 #[derive(Clone)]
 pub struct Way {
