--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -442,6 +442,11 @@
     assert_eq!(rig.setting(3, FORWARDS), json!(6));
     let plain = rig.cli(3, &["set", FORWARDS, "2"]);
     assert!(plain.code == 3 && plain.err.contains("ironstair set --fleet"), "{plain:?}");
+    let chair = rig.chair();
+    let of =
+        |g: usize, leaf: &str| rig.setting(chair, &format!("/state/fleet/member[name=g{}]/{leaf}", g + 1));
+    ALL.for_each(|g| until("the chair's tree shows it", || of(g, "holds") == json!(true)));
+    assert_eq!(of(4, "cut-off"), json!("strict"));
     let shown = rig.cli(1, &["fleet"]);
     assert!(shown.out.contains("chair g") && shown.out.contains("lease-left-ms"), "{shown:?}");
 }
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -358,6 +358,7 @@
             steady: self.charter.steady,
             keeper: self.kept.is_some(),
             chair: self.chair().unwrap_or_default(),
+            members: self.kept.as_ref().map_or(Vec::new(), |k| shown::members(&k.keeper)),
         };
         self.shown.send_if_modified(|was| {
             let other = *was != is;
--- a/crates/muster/src/shown.rs
+++ b/crates/muster/src/shown.rs
@@ -5,6 +5,7 @@
 use ironstair_accord::record::{Line, Seat};
 use ironstair_accord::{Chair, Fleet};
 use ironstair_keeper::Keeper;
+use ironstair_tree::state;
 use serde_json::{json, Value as Json};
 
 fn member(now: Ms, fleet: &Fleet<Json>, chair: &Chair<Json>, (name, seat): (&String, &Seat)) -> Json {
@@ -21,6 +22,17 @@
     })
 }
 
+/// Who is in, for the tree.
+pub fn members(keeper: &Keeper<Json>) -> Vec<state::Member> {
+    let (fleet, Some(chair)) = (&keeper.state().fleet, keeper.chair()) else { return Vec::new() };
+    let one = |(name, seat): (&String, &Seat)| {
+        let (heard, mark, until) = chair.seen(name).unwrap_or_default();
+        let holds = mark == fleet.mark;
+        state::Member { name: name.clone(), steady: seat.steady, heard, until, holds }
+    };
+    fleet.members.iter().map(one).collect()
+}
+
 fn line(l: &Line) -> Json {
     let mut shown = json!({"number": l.number, "who": l.who, "when": l.when.round(), "what": l.what, "outcome": l.standing});
     if let Some(commit) = &l.commit {
--- a/crates/tree/src/state.rs
+++ b/crates/tree/src/state.rs
@@ -77,17 +77,42 @@
     pub keeper: bool,
     /// Empty where none is known.
     pub chair: String,
+    /// At the chair: who is in.
+    pub members: Vec<Member>,
+}
+
+/// A member as the fleet's chair knows it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Member {
+    pub name: String,
+    pub steady: bool,
+    /// When it was last heard, and until when its lease may run.
+    pub heard: Ms,
+    pub until: Ms,
+    /// Whether it holds what is to be held.
+    pub holds: bool,
 }
 
 /// The leaves with those of the fleet.
 pub fn fleet(leaves: &Leaves, is: &Fleet) -> Leaves {
     let mut new = leaves.clone();
+    let node = at(&mut new, [step("fleet", None)]).at;
+    remove(&mut new, &node);
+    let cut_off = |steady: bool| if steady { "steady" } else { "strict" };
+    for m in &is.members {
+        let mut n = at(&mut new, [step("fleet", None), step("member", Some(&m.name))]);
+        n.text("name", &m.name);
+        n.text("cut-off", cut_off(m.steady));
+        n.set("heard", moment(m.heard));
+        n.set("lease-until", moment(m.until));
+        n.set("holds", Value::Bool(m.holds));
+    }
     let mut n = at(&mut new, [step("fleet", None)]);
     n.text("name", &is.name);
     n.text("history", &format!("{:016x}", is.history));
     n.wide("revision", is.revision);
     n.set("held-until", moment(is.until.min(MOMENT_MOST)));
-    n.text("cut-off", if is.steady { "steady" } else { "strict" });
+    n.text("cut-off", cut_off(is.steady));
     n.set("keeper", Value::Bool(is.keeper));
     n.text("chair", &is.chair);
     new
