--- a/crates/fleet/src/schedule.rs
+++ b/crates/fleet/src/schedule.rs
@@ -82,7 +82,7 @@
 
 /// Plays a schedule under load; how many of the changes asked for were made. What it breaks ends it.
 pub fn play(rig: &mut Rig, steps: &[Step]) -> usize {
-    let mut made = 0;
+    let (mut made, mut lost) = (0, None);
     for step in steps {
         let (lasts, asks) = (Duration::from_millis(step.lasts), |rig: &Rig| ask(rig, step.at, step.ask));
         // Half of it lies before what is asked, half after.
@@ -117,12 +117,17 @@
                 meanwhile(rig)
             }
             Fault::Wipe(k) => {
-                // A further disk, lost while one is being replaced, is one too many.
-                until("every keeper votes", || {
+                // A further disk, lost before the last one's keeper has a vote again, is one too many.
+                let votes = |rig: &Rig, k: usize| rig.log(k).matches("this keeper has a vote").count();
+                until("the keeper whose disk was lost has a vote", || {
+                    lost.is_none_or(|(lost, before)| votes(rig, lost) > before)
+                });
+                until("no keeper is being replaced", || {
                     let at = (0..KEEPERS as usize).find(|o| o != k).unwrap_or(0);
                     let shown = rig.shown(at);
                     shown["joining"] == json!([]) && shown["replacing"] == json!(false)
                 });
+                lost = Some((*k, votes(rig, *k)));
                 rig.kill(*k);
                 rig.wipe(*k);
                 let asked = meanwhile(rig);
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -168,6 +168,8 @@
     unheard: String,
     /// Whether it was said that a lease is held.
     held: bool,
+    /// Whether it was said that this keeper has a vote.
+    votes: bool,
     /// The revisions as last told to the log.
     lines: VecDeque<Line>,
 }
@@ -230,6 +232,7 @@
             leaving: None,
             unheard: String::new(),
             held: false,
+            votes: false,
             lines: VecDeque::new(),
         };
         if let Some(archive) = archive {
@@ -339,6 +342,11 @@
         }
         self.answer_the_pending();
         self.say_what_came_to_pass();
+        let votes = self.kept.as_ref().is_some_and(|k| !k.keeper.is_blank());
+        if votes && !std::mem::replace(&mut self.votes, votes) {
+            info!(self.log, "this keeper has a vote");
+        }
+        self.votes = votes;
         let held = self.member.holds(now);
         if held != self.held {
             self.held = held;
