--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -100,6 +100,9 @@
     whole_sent: BTreeMap<u64, Ms>,
     /// Who last spoke to this keeper while it was blank.
     teacher: Option<(u64, String)>,
+    /// The chair is to look whether there is something to write: not with each beat, or hundreds of members would
+    /// each cost a look at all of them.
+    look: bool,
     /// The log is to be cut: who is new must find itself among the keepers of the whole state.
     cut: bool,
     out: Vec<Out<D>>,
@@ -179,6 +182,7 @@
             knocking: BTreeMap::new(),
             whole_sent: BTreeMap::new(),
             teacher: None,
+            look: true,
             cut: false,
             out: Vec::new(),
         })
@@ -227,6 +231,7 @@
     pub fn tick(&mut self, now: Ms) -> Vec<Out<D>> {
         self.now = now;
         self.node.tick();
+        self.look = true;
         self.send_the_whole_again();
         self.go_on()
     }
@@ -275,6 +280,7 @@
         self.now = now;
         let (_, chair) = self.chair.as_mut().ok_or(Refusal::NotBegun)?;
         chair.ask(&self.state.fleet, ask)?;
+        self.look = true;
         Ok(self.go_on())
     }
 
@@ -353,7 +359,7 @@
     }
 
     fn write(&mut self) {
-        if !self.has_read_all() {
+        if !self.has_read_all() || !std::mem::take(&mut self.look) {
             return;
         }
         let Some((_, chair)) = self.chair.as_mut() else { return };
@@ -460,6 +466,7 @@
     }
 
     fn apply(&mut self, entries: Vec<Entry>) {
+        self.look |= !entries.is_empty();
         for entry in entries {
             self.applied = entry.index;
             match entry.get_entry_type() {
