--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -191,9 +191,10 @@
     });
     let fault = |what: &str, e: std::io::Error| format!("{what}: {e}");
     block_on(executor.run(async {
-        let listener = Async::<TcpListener>::bind(told.listen).map_err(|e| fault("listen", e))?;
+        // Before it listens: who finds it listening may send it a signal, which would end it without a word.
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
         let signals = signals.map_err(|e| fault("signals", e))?;
+        let listener = Async::<TcpListener>::bind(told.listen).map_err(|e| fault("listen", e))?;
         module.try_send(Event::Roster(told.known)).map_err(|e| e.to_string())?;
         let shown = management.as_ref().map(|m| Shown {
             window: m.window.clone(),
