Read over: a steady gateway's one word is not lost, tests wait for a vote and a moved list

A steady member's tenure was told once by a send that gives up where the mailbox is full: then it never served. It waits in a task now. Case 7 went on when the list of keepers had three names, which it always has: it waits until the wiped keeper's log says that it has a vote. The SIGHUP case looked for a missing sentence before the signal was heeded. A comparison of answers by their debug text is out.

--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -291,10 +291,9 @@
     assert!((1..5).all(|g| !rig.fit(g)));
     rig.start(0);
     all_hold(&rig, 2);
-    until("every keeper votes", || rig.shown(0)["keepers"].as_array().is_some_and(|k| k.len() == 3));
     rig.until_answers(What::Settled, 200);
-    // The wiped one has a vote again: without the first, the fleet goes on.
-    until("nobody is being let in", || rig.shown(0)["joining"] == json!([]));
+    // The wiped one has a vote again, as at its first start: without the first keeper, the fleet goes on.
+    until("it votes", || rig.log(1).matches("this keeper has a vote").count() == 2);
     rig.kill(0);
     rig.until_answers(What::Settled, 200);
     well(rig.set(1, &[FORWARDS, "5"]));
@@ -423,6 +422,7 @@
     until("the second of a name is told", || rig.log(4).contains("another process is"));
     assert!(!rig.fit(3) && !rig.fit(4));
     rig.kill(4);
+    let _ = std::fs::remove_dir_all(std::env::temp_dir().join(format!("strange-{}", std::process::id())));
     // Not heard for ten leases is long; by its own word it is out at once.
     let second = if rig.chair() == 1 { 0 } else { 1 };
     rig.end(second);
@@ -438,6 +438,7 @@
     rig.retell(4, |told| told["names"] = json!("127.0.0.1:9"));
     rig.retell(3, |told| told["settings"]["policy_limits"]["max_attempts"] = json!(2));
     until("it is refused", || rig.log(3).contains(sentence));
+    until("the list moves", || rig.log(4).contains("name service has moved"));
     assert!(!rig.log(4).contains(sentence), "where the list comes from may move");
     assert_eq!(rig.setting(3, FORWARDS), json!(6));
     let plain = rig.cli(3, &["set", FORWARDS, "2"]);
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -422,10 +422,13 @@
                         let _ = post.send(Mail::Examined(number, how)).await;
                     });
                 }
-                // Where the gateway's thread is behind, the next lease tells it.
                 Action::Hold(until) => {
                     let until = if taken_out("tenure") { Ms::INFINITY } else { until };
-                    let _ = self.requests.try_send(Request::Tenure(until));
+                    // Against a mailbox that is full just then: a steady one is told once, and for good.
+                    if let Err(full) = self.requests.try_send(Request::Tenure(until)) {
+                        let requests = self.requests.clone();
+                        tokio::spawn(async move { drop(requests.send(full.into_inner()).await) });
+                    }
                 }
                 Action::Say(what) => warn!(self.log, "of the fleet"; "why" => what),
             }
@@ -670,7 +673,7 @@
             return drop(to.send(Told::Refused(Refusal::Busy.to_string())));
         }
         // One that comes again by another way stands in the log already.
-        if outcome(&k.keeper.state().fleet, &ask) == Outcome::Unknown {
+        if matches!(outcome(&k.keeper.state().fleet, &ask), Outcome::Unknown) {
             match k.keeper.ask(now, ask.clone()) {
                 Ok(outs) => self.carry(outs),
                 Err(why) => return drop(to.send(Told::Refused(why.to_string()))),
@@ -786,7 +789,6 @@
     }
 }
 
-#[derive(Debug, PartialEq)]
 enum Outcome {
     Known(Told),
     /// It stands in the log, and goes on.
@@ -794,12 +796,6 @@
     Unknown,
 }
 
-impl PartialEq for Told {
-    fn eq(&self, other: &Told) -> bool {
-        format!("{self:?}") == format!("{other:?}")
-    }
-}
-
 /// What became of an ask, by the log.
 fn outcome(fleet: &ironstair_accord::Fleet<Json>, ask: &Ask<Json>) -> Outcome {
     let line = match ask {
