Shares of cold engines by the members there are; a lost history begins anew by an operator's word

Need: with most gateways down, who is left used a share of cold engines for all that were told; and after most keepers' disks were lost for good there was no way out.

Off unless fleet.count says members. history: a number has a generation; ironstair fleet begin-anew begins the next with the last policy that the keeper's disk holds, not while a chair answers, and says what it may lose; keepers compare histories and put an earlier one aside; members never go back.

--- a/crates/accord/src/chair.rs
+++ b/crates/accord/src/chair.rs
@@ -1,9 +1,10 @@
 //! What the fleet's chair does next: who is let in, who still counts, and when a change takes its next step. Its
 //! memory is of one term: a later chair knows only the log, and waits until no lease of the earlier can be left.
 
+use crate::count::Count;
 use crate::fleet::{Fleet, Step};
 use crate::record::{Record, Seat, Wish};
-use crate::{Answer, Beat, Policy, DRIFT};
+use crate::{grace, Answer, Beat, Policy};
 use ironstair::Ms;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -92,6 +93,8 @@
     /// Since when this chair knows of a process.
     seated: BTreeMap<String, (u64, Ms)>,
     trial: Option<(u64, Ms)>,
+    /// From the first look at the log on.
+    count: Option<Count>,
 }
 
 type Rule<D> = fn(&Chair<D>, Ms, &Fleet<D>) -> Option<Record<D>>;
@@ -103,11 +106,22 @@
 
     pub fn new(now: Ms, lease: Ms) -> Self {
         let (heard, knocking, asks, going, seated) = Default::default();
-        Chair { since: now, lease, heard, knocking, asks, written: false, going, seated, trial: None }
+        Chair {
+            since: now,
+            lease,
+            heard,
+            knocking,
+            asks,
+            written: false,
+            going,
+            seated,
+            trial: None,
+            count: None,
+        }
     }
 
     fn grace(&self) -> Ms {
-        self.lease * DRIFT
+        grace(self.lease)
     }
 
     /// Whether a member may still decide by what it last held.
@@ -135,6 +149,7 @@
             lease: None,
             why: None,
             soon: fleet.change.is_some(),
+            share: None,
         };
         if fleet.history == 0 {
             answer.why = Some("the fleet has no history yet: an operator begins it".into());
@@ -177,10 +192,24 @@
         if mark == fleet.mark && hears && !h.leaving && !self.going.contains_key(&beat.name) {
             h.until = h.until.max(now + grace);
             answer.lease = Some(self.lease);
+            answer.share = Some(self.count(fleet).share(now, &beat.name, beat.start, beat.shares));
         }
         answer
     }
 
+    fn count(&mut self, fleet: &Fleet<D>) -> &mut Count {
+        // No earlier chair told more than there are members, or than it began with.
+        let told = fleet.running.as_ref().map_or(1.0, |r| r.1.gateways());
+        let most = told.max(fleet.members.len() as f64);
+        let (since, lease, grace) = (self.since, self.lease, self.grace());
+        self.count.get_or_insert_with(|| Count::new(since, lease, grace, most))
+    }
+
+    /// How many gateways share, and how many of them have their share by now.
+    pub fn sharing(&self) -> Option<(f64, usize)> {
+        self.count.as_ref().map(Count::shown)
+    }
+
     /// What this chair knows of a member: when it was last heard, what it holds, until when its lease may run.
     pub fn seen(&self, name: &str) -> Option<(Ms, u64, Ms)> {
         self.heard.get(name).map(|h| (h.at, h.mark, h.until))
@@ -258,6 +287,7 @@
 
     /// The next record to be written, one at a time.
     pub fn next(&mut self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
+        self.count_all(now, fleet);
         if self.written {
             return None;
         }
@@ -281,6 +311,17 @@
         Some(record)
     }
 
+    fn count_all(&mut self, now: Ms, fleet: &Fleet<D>) {
+        self.count(fleet);
+        let Some(mut count) = self.count.take() else { return };
+        let live = fleet.members.keys().filter(|name| self.counts(now, fleet, name)).count();
+        let lives = |name: &str, start: u64| {
+            fleet.members.get(name).is_some_and(|s| s.start == start) && self.counts(now, fleet, name)
+        };
+        count.look(now, live, lives);
+        self.count = Some(count);
+    }
+
     // Before their first lease, so that a later chair knows of them.
     fn seat(&self, now: Ms, fleet: &Fleet<D>) -> Option<Record<D>> {
         let gone = |(name, seat): &(&String, &Seat)| {
--- a/crates/accord/src/fleet.rs
+++ b/crates/accord/src/fleet.rs
@@ -80,8 +80,9 @@
     /// Takes one more record; whether it had an effect.
     pub fn apply(&mut self, record: Record<D>) -> bool {
         match record {
-            Record::Begun { history, document } if self.history == 0 && history != 0 => {
+            Record::Begun { history, document, line } if self.history == 0 && history != 0 => {
                 (self.history, self.running, self.mark) = (history, Some((0, document)), 1);
+                self.lines.extend(line);
             }
             Record::Members { joined, left } => return self.seat(joined, left),
             Record::Staged(wish) => return self.stage(wish),
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -3,11 +3,14 @@
 //! `docs/design/fleet.md`.
 
 pub mod chair;
+pub mod count;
 pub mod fleet;
+pub mod history;
 pub mod member;
 pub mod record;
 
 pub use chair::Chair;
+pub use count::Share;
 pub use fleet::Fleet;
 pub use member::Member;
 pub use record::{Line, Record, Standing};
@@ -19,12 +22,21 @@
 pub trait Policy: Clone + PartialEq {
     /// What is safe beside both, in sum over all gateways; none where nothing is.
     fn stricter(&self, other: &Self) -> Option<Self>;
+
+    /// How many gateways it was made for.
+    fn gateways(&self) -> f64 {
+        1.0
+    }
 }
 
 impl Policy for ironstair_change::Document {
     fn stricter(&self, other: &Self) -> Option<Self> {
         ironstair_change::Document::stricter(self, other)
     }
+
+    fn gateways(&self) -> f64 {
+        self.gateways as f64
+    }
 }
 
 /// As it crosses between gateways: a version that can't read a field of it can still say so.
@@ -33,11 +45,20 @@
         let read = |of: &Self| serde_json::from_value::<ironstair_change::Document>(of.clone()).ok();
         serde_json::to_value(read(self)?.stricter(&read(other)?)?).ok()
     }
+
+    fn gateways(&self) -> f64 {
+        self["gateways"].as_f64().unwrap_or(1.0)
+    }
 }
 
 /// A chair counts a lease for this much longer than its member: what two clocks' rates may differ by, and more.
 const DRIFT: f64 = 1.1;
 
+/// After so long no lease that a chair granted before can be left.
+pub fn grace(lease: Ms) -> Ms {
+    lease * DRIFT
+}
+
 /// What a member says of itself, three times a lease and whenever that changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -56,6 +77,9 @@
     /// What it makes of a change that is staged: its number, and why it can't be here.
     pub examined: Option<(u64, Result<(), String>)>,
     pub leaving: bool,
+    /// Takes a share of what all share out, by a lease that it holds.
+    #[serde(default)]
+    pub shares: bool,
 }
 
 /// What the chair says to that, once a quorum has confirmed that it is the chair.
@@ -76,4 +100,7 @@
     /// A change is under way: its next step goes out with the next beat, which is wanted soon.
     #[serde(default)]
     pub soon: bool,
+    /// Goes with the lease.
+    #[serde(default)]
+    pub share: Option<Share>,
 }
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -1,6 +1,7 @@
 //! What one gateway of a fleet holds, and until when it may decide by it.
 
-use crate::{Answer, Beat};
+use crate::history::supersedes;
+use crate::{Answer, Beat, Share};
 use ironstair::Ms;
 
 /// Beats in a lease: one may be lost, and one more.
@@ -43,8 +44,8 @@
         number: u64,
         document: D,
     },
-    /// The decisions may go on until then, by the member's own clock.
-    Hold(Ms),
+    /// The decisions may go on until then, by the member's own clock, with that share of what all share out.
+    Hold(Ms, Share),
     /// Worth a line in the log, said once.
     Say(String),
 }
@@ -65,6 +66,7 @@
     heard: Ms,
     leaving: bool,
     said: Option<String>,
+    share: Share,
 }
 
 impl Member {
@@ -85,6 +87,7 @@
             heard: 0.0,
             leaving: false,
             said: None,
+            share: Share::default(),
         }
     }
 
@@ -103,6 +106,11 @@
         (self.history, self.mark, self.number)
     }
 
+    /// One of how many it is, and whether it takes that share.
+    pub fn share(&self) -> Share {
+        self.share
+    }
+
     /// When `Due` is wanted.
     pub fn due(&self) -> Ms {
         self.beat_at
@@ -129,7 +137,7 @@
             }
             Input::Leave => {
                 (self.leaving, self.beat_at, self.until) = (true, now, 0.0);
-                actions.push(Action::Hold(0.0));
+                actions.push(Action::Hold(0.0, Share::default()));
             }
         }
         if now >= self.beat_at {
@@ -144,6 +152,8 @@
                 steady: self.steady,
                 examined: self.examined.clone(),
                 leaving: self.leaving,
+                // A share is over with the lease that it came with.
+                shares: self.share.taken && self.holds(now),
             }));
         }
         actions
@@ -166,7 +176,9 @@
             self.say(why, actions);
         }
         if a.history != self.history {
-            if a.history == 0 || self.holds(now) || self.applying.is_some() {
+            // A steady one holds for good: it goes over as soon as it hears of a later history.
+            let over = !self.holds(now) || self.steady && supersedes(a.history, self.history);
+            if a.history == 0 || supersedes(self.history, a.history) || !over || self.applying.is_some() {
                 return;
             }
             (self.history, self.mark, self.examined) = (a.history, 0, None);
@@ -183,8 +195,8 @@
         if let Some(lease) = a.lease.filter(|_| a.mark == self.mark && !self.leaving) {
             let until = if self.steady { Ms::INFINITY } else { a.sent + lease };
             if until > self.until {
-                self.until = until;
-                actions.push(Action::Hold(until));
+                (self.until, self.share) = (until, a.share.unwrap_or_default());
+                actions.push(Action::Hold(until, self.share));
             }
             self.said = None;
         }
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -7,8 +7,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Record<D> {
-    /// A history begins, by an operator's word, with what one gateway was told.
-    Begun { history: u64, document: D },
+    /// A history begins, by an operator's word, with what one gateway was told; or anew, with what its line says.
+    Begun { history: u64, document: D, line: Option<Line> },
     /// Members come in with a process, instead of an earlier one of that name, and go.
     Members { joined: Vec<(String, Seat)>, left: Vec<(String, u64)> },
     /// Somebody wants a change: it is examined everywhere.
--- a/crates/accord/tests/chair.rs
+++ b/crates/accord/tests/chair.rs
@@ -27,7 +27,7 @@
     /// With these members in, each of start 1, holding the first policy.
     fn of(names: &[&str], steady: bool) -> Desk {
         let mut fleet = Fleet::default();
-        fleet.apply(Record::Begun { history: 7, document: Pol(1) });
+        fleet.apply(Record::Begun { history: 7, document: Pol(1), line: None });
         let mut d = Desk { now: 100_000.0, fleet, chair: Chair::new(0.0, LEASE) };
         for name in names {
             let beat = Beat { steady, ..d.of_start(name, 1) };
@@ -41,7 +41,8 @@
     fn of_start(&self, name: &str, start: u64) -> Beat {
         let (history, mark, sent) = (7, self.fleet.mark, self.now);
         let (name, heard, steady, examined, leaving) = (name.into(), sent, false, None, false);
-        Beat { name, start, sent, history, mark, heard, steady, examined, leaving }
+        let shares = false;
+        Beat { name, start, sent, history, mark, heard, steady, examined, leaving, shares }
     }
 
     fn say(&mut self, beat: &Beat) -> Answer<Pol> {
--- /dev/null
+++ b/crates/accord/tests/count.rs
@@ -0,0 +1,183 @@
+//! Shares of what all gateways share out, in every order of beats, ends, starts and lost chairs: never more than the
+//! whole (`docs/design/recovery.md`, promise 2). Three gateways, of which the policy was made for two.
+
+mod played;
+
+use ironstair_accord::member::Input;
+use ironstair_accord::{Chair, Fleet, Record};
+use played::{Gate, Pol, LEASE};
+use stateright::{Checker, HasDiscoveries, Model, Property};
+use std::hash::{Hash, Hasher};
+
+const GATES: usize = 3;
+
+#[derive(Clone, Debug, PartialEq)]
+struct World {
+    now: f64,
+    fleet: Fleet<Pol>,
+    chair: Chair<Pol>,
+    gates: Vec<Option<Gate>>,
+    starts: u64,
+    left: Budget,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Budget {
+    ticks: u8,
+    ends: u8,
+    chairs: u8,
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, to: &mut H) {
+        format!("{self:?}").hash(to);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Move {
+    Tick,
+    Talk(usize),
+    Hear(usize),
+    Kill(usize),
+    Start(usize),
+    Chair,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Out {
+    Nothing,
+    /// Who comes takes its share at once.
+    Waits,
+    /// A new chair gives shares before leases of the earlier are over.
+    Grace,
+}
+
+struct Days {
+    budget: Budget,
+    out: Out,
+}
+
+impl World {
+    /// The chair looks, and the log takes what it writes.
+    fn look(&mut self) {
+        while let Some(record) = self.chair.next(self.now, &self.fleet) {
+            self.fleet.apply(record);
+            self.chair.applied();
+        }
+    }
+
+    fn shares(&self) -> impl Iterator<Item = f64> + '_ {
+        let decides = self.gates.iter().flatten().filter(|g| g.member.holds(self.now));
+        decides.map(|g| g.member.share()).filter(|s| s.taken).map(|s| 1.0 / s.among)
+    }
+}
+
+impl Model for Days {
+    type State = World;
+    type Action = Move;
+
+    fn init_states(&self) -> Vec<World> {
+        let mut fleet = Fleet::default();
+        fleet.apply(Record::Begun { history: 1, document: Pol(0, 0), line: None });
+        let chair = Chair::new(-9.0, LEASE);
+        let left = Budget { ticks: 9, ..self.budget };
+        let mut w = World { now: 0.0, fleet, chair, gates: vec![None; GATES], starts: 0, left };
+        // Two are in and have their shares; the third comes when it likes.
+        let talk = [Move::Talk(0), Move::Hear(0), Move::Talk(1), Move::Hear(1)];
+        let round = [&talk[..], &talk[..], &[Move::Tick]].concat();
+        let rounds = (0..6).flat_map(|_| round.clone());
+        for step in [Move::Start(0), Move::Start(1)].into_iter().chain(rounds).chain(talk) {
+            w = self.next_state(&w, step).unwrap_or(w);
+        }
+        assert_eq!(w.shares().sum::<f64>(), 1.0);
+        w.left = self.budget;
+        vec![w]
+    }
+
+    fn actions(&self, w: &World, moves: &mut Vec<Move>) {
+        moves.extend((w.left.ticks > 0).then_some(Move::Tick));
+        moves.extend((w.left.chairs > 0).then_some(Move::Chair));
+        for (i, gate) in w.gates.iter().enumerate() {
+            let Some(g) = gate else {
+                moves.push(Move::Start(i));
+                continue;
+            };
+            moves.extend(g.has_a_beat(w.now).then_some(Move::Talk(i)));
+            moves.extend(g.answer.is_some().then_some(Move::Hear(i)));
+            moves.extend((w.left.ends > 0).then_some(Move::Kill(i)));
+        }
+    }
+
+    fn next_state(&self, was: &World, step: Move) -> Option<World> {
+        let mut w = was.clone();
+        match step {
+            Move::Tick => {
+                (w.now, w.left.ticks) = (w.now + 1.5, w.left.ticks - 1);
+                w.look();
+            }
+            Move::Talk(i) => {
+                let gate = w.gates[i].as_mut()?;
+                let beat = gate.sends(w.now, i)?;
+                let mut answer = w.chair.beat(w.now, &w.fleet, &beat);
+                if self.out == Out::Waits {
+                    answer.share.iter_mut().for_each(|s| s.taken = true);
+                }
+                gate.answer = Some(answer);
+                w.look();
+            }
+            Move::Hear(i) => {
+                let gate = w.gates[i].as_mut()?;
+                let answer = gate.answer.take()?;
+                gate.hand(w.now, i, Input::Answered(answer));
+            }
+            Move::Kill(i) => (w.gates[i], w.left.ends) = (None, w.left.ends - 1),
+            Move::Start(i) => {
+                w.starts += 1;
+                w.gates[i] = Some(Gate::new(i, w.starts));
+            }
+            Move::Chair => {
+                w.left.chairs -= 1;
+                let since = if self.out == Out::Grace { -9.0 } else { w.now };
+                w.chair = Chair::new(since, LEASE);
+            }
+        }
+        Some(w).filter(|w| w != was)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no more than the whole", |_, w: &World| w.shares().sum::<f64>() <= 1.0 + 1e-9),
+            Property::sometimes("the third has its share", |_, w: &World| w.shares().count() == GATES),
+        ]
+    }
+}
+
+#[test]
+fn in_every_order_the_shares_come_to_no_more_than_the_whole() {
+    let quiet = Budget { ticks: 3, ends: 0, chairs: 0 };
+    for (budget, states) in [
+        (quiet, 1_000),
+        (Budget { ticks: 2, ends: 1, ..quiet }, 1_000),
+        (Budget { ticks: 2, chairs: 1, ..quiet }, 1_000),
+    ] {
+        let found = Days { budget, out: Out::Nothing }.checker().threads(4).spawn_bfs().join();
+        found.assert_no_discovery("no more than the whole");
+        println!("{budget:?}: {} states", found.unique_state_count());
+        assert!(found.unique_state_count() >= states, "{budget:?}: {}", found.unique_state_count());
+        assert!(budget != quiet || found.discovery("the third has its share").is_some());
+    }
+}
+
+#[test]
+fn a_share_taken_at_once_and_a_chair_that_knows_no_earlier_leases_break_it() {
+    for (out, chairs) in [(Out::Waits, 0), (Out::Grace, 1)] {
+        let budget = Budget { ticks: 3, ends: 0, chairs };
+        let days = Days { budget, out }.checker().threads(4);
+        let failure = HasDiscoveries::AllOf(["no more than the whole"].into());
+        let found = days.finish_when(failure).spawn_bfs().join();
+        assert!(found.discovery("no more than the whole").is_some(), "{out:?}");
+    }
+}
--- a/crates/accord/tests/keepers.rs
+++ b/crates/accord/tests/keepers.rs
@@ -129,7 +129,7 @@
 
 fn begun() -> Fleet<Pol> {
     let mut fleet = Fleet::default();
-    fleet.apply(Record::Begun { history: 1, document: Pol(0, 0) });
+    fleet.apply(Record::Begun { history: 1, document: Pol(0, 0), line: None });
     fleet
 }
 
--- a/crates/accord/tests/orders.rs
+++ b/crates/accord/tests/orders.rs
@@ -118,7 +118,7 @@
 
     fn init_states(&self) -> Vec<World> {
         let mut fleet = Fleet::default();
-        fleet.apply(Record::Begun { history: 1, document: Pol(0, 0) });
+        fleet.apply(Record::Begun { history: 1, document: Pol(0, 0), line: None });
         let mut w = World {
             now: 0.0,
             marked: 0.0,
--- a/crates/accord/tests/played/mod.rs
+++ b/crates/accord/tests/played/mod.rs
@@ -1,6 +1,9 @@
 //! What both models of a change of policy play with: a policy of numbers, a gateway with its member, and the
 //! sentences of `docs/design/fleet.md` as questions to gateways.
 
+// Each model plays with a part of it.
+#![allow(dead_code)]
+
 use ironstair_accord::member::{Action, Input};
 use ironstair_accord::record::Wish;
 use ironstair_accord::{Answer, Beat, Member, Policy};
@@ -19,6 +22,10 @@
     fn stricter(&self, other: &Self) -> Option<Self> {
         Some(Pol(self.0.min(other.0), self.1.max(other.1)))
     }
+
+    fn gateways(&self) -> f64 {
+        2.0
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -68,7 +75,7 @@
                         let how = if unread(document) { Err("a newer version".into()) } else { Ok(()) };
                         inputs.push(Input::Examined { number, how });
                     }
-                    Action::Hold(_) | Action::Say(_) => {}
+                    Action::Hold(..) | Action::Say(_) => {}
                 }
             }
         }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -179,6 +179,15 @@
         });
     }
 
+    /// How many gateways there are.
+    pub fn size(&self) -> usize {
+        self.gates.len()
+    }
+
+    pub fn listens(&self, g: usize) -> bool {
+        TcpStream::connect(self.gates[g].at).is_ok()
+    }
+
     pub fn until_fit(&self, g: usize) {
         until(&format!("{} is fit", name(g)), || self.fit(g));
     }
@@ -417,7 +426,7 @@
 
     /// One gateway's client asks no more, and has all its answers.
     pub fn quiet(&mut self, g: usize) {
-        until("it listens", || TcpStream::connect(self.gates[g].at).is_ok());
+        until("it listens", || self.listens(g));
         self.loads[g].paused.store(true, Relaxed);
         let load = &self.loads[g];
         until("its client is quiet", || load.open.load(Relaxed) == 0);
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -5,7 +5,8 @@
 use async_channel::{Receiver, Sender};
 use ironstair::door::Door;
 use ironstair::logic::Gateway;
-use ironstair::{Listed, Ms, Outcome, Outlet, Standing, Submission};
+use ironstair::{Listed, Mandate, Ms, Outcome, Outlet, Standing, Submission};
+use ironstair_accord::Share;
 use ironstair_cells::{Cells, Goes, Keeper};
 use ironstair_mail::pool::Chain;
 use ironstair_mail::wait::next;
@@ -68,6 +69,9 @@
     counts: Vec<Counts>,
     /// Which cells engines and tenants are in, where there are any.
     cells: Option<Keeper>,
+    /// In a fleet that counts its members: the terms, and the share that goes before what they say of all gateways.
+    mandate: Option<Mandate>,
+    share: Option<Share>,
 }
 
 impl Hands {
@@ -84,6 +88,8 @@
             ends: Ms::INFINITY,
             counts: Vec::new(),
             cells,
+            mandate: None,
+            share: None,
         }
     }
 
@@ -272,8 +278,13 @@
             Some(Event::Asked(request)) => match (request, &shown) {
                 (Request::Show, Some(shown)) => show(&gateway, &mut hands, shown),
                 (Request::Amend(to), _) => amend(&mut gateway, &mut hands, *to),
-                (Request::Tenure(until), _) => {
+                (Request::Tenure(until, share), _) => {
                     hands.shared.tenure.set(until);
+                    if let Some(share) = share.filter(|s| hands.share.is_none_or(|was| s.differs(was))) {
+                        hands.share = Some(share);
+                        let mandate = hands.mandate.as_ref().map(|m| share.of(m));
+                        mandate.into_iter().for_each(|m| gateway.amend(now, m, &mut hands));
+                    }
                     gateway.tenure(now, until, &mut hands);
                 }
                 (Request::Show, None) => {}
@@ -300,7 +311,12 @@
         }
         move_tenants(gateway, hands);
     }
-    gateway.amend(hands.now, to.mandate, hands);
+    let shared = hands.share.map(|s| s.of(&to.mandate));
+    // In a fleet the share changes while the terms stay.
+    if hands.shared.tenure.get().is_finite() {
+        hands.mandate = Some(to.mandate.clone());
+    }
+    gateway.amend(hands.now, shared.unwrap_or(to.mandate), hands);
     let _ = to.done.try_send(());
 }
 
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -39,6 +39,9 @@
     /// What becomes of this gateway when it hears nothing for a lease.
     #[serde(default)]
     pub cut_off: CutOff,
+    /// Among how many the gateways share out what a cold engine bears; alike at all.
+    #[serde(default)]
+    pub count: Count,
     /// A keeper's folder for the log; only for keepers.
     pub state: Option<PathBuf>,
 }
@@ -53,6 +56,16 @@
     Steady,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Count {
+    /// As many as the policy says.
+    #[default]
+    Told,
+    /// The members that may decide: grows at once, shrinks slowly.
+    Members,
+}
+
 fn lease() -> u32 {
     3000
 }
@@ -69,6 +82,7 @@
         keepers: f.keepers.clone(),
         lease: f.lease_ms as f64,
         steady: f.cut_off == CutOff::Steady,
+        counts: f.count == Count::Members,
         folder: f.state.clone(),
     };
     charter.checked()
@@ -269,6 +283,7 @@
             (r#""state": "s""#, "d", "fleet.state: d is not among the keepers"),
             (r#""lease_ms": 3000"#, "a", "fleet.state: a is a keeper"),
             (r#""lease_ms": 3000"#, "", "fleet: the gateway's own name"),
+            (r#""count": "members", "cut_off": "steady""#, "d", "fleet.count: who goes on"),
         ] {
             let told = charter(&read(more), name).unwrap_err();
             assert!(told.starts_with(why), "{more}: {told}");
--- a/crates/gateway/src/user.rs
+++ b/crates/gateway/src/user.rs
@@ -23,22 +23,28 @@
 #[derive(clap::Args)]
 pub struct At {
     /// Where a gateway serves management
-    #[arg(long, env = "IRONSTAIR_AT", default_value = "127.0.0.1:9339", value_name = "HOST:PORT")]
+    #[arg(
+        global = true,
+        long,
+        env = "IRONSTAIR_AT",
+        default_value = "127.0.0.1:9339",
+        value_name = "HOST:PORT"
+    )]
     at: String,
     /// For programs: JSON instead of tables
-    #[arg(long)]
+    #[arg(global = true, long)]
     json: bool,
     /// The authority of the gateway's certificate, as PEM: with it TLS is spoken
-    #[arg(long, env = "IRONSTAIR_CA", value_name = "FILE", requires_all = ["cert", "key"])]
+    #[arg(global = true, long, env = "IRONSTAIR_CA", value_name = "FILE", requires_all = ["cert", "key"])]
     ca: Option<PathBuf>,
     /// The own certificate, as PEM
-    #[arg(long, env = "IRONSTAIR_CERT", value_name = "FILE")]
+    #[arg(global = true, long, env = "IRONSTAIR_CERT", value_name = "FILE")]
     cert: Option<PathBuf>,
     /// The key of that, as PEM
-    #[arg(long, env = "IRONSTAIR_KEY", value_name = "FILE")]
+    #[arg(global = true, long, env = "IRONSTAIR_KEY", value_name = "FILE")]
     key: Option<PathBuf>,
     /// The name in the gateway's certificate, where it is not the host's
-    #[arg(long, value_name = "NAME")]
+    #[arg(global = true, long, value_name = "NAME")]
     server_name: Option<String>,
 }
 
@@ -133,10 +139,17 @@
     at: At,
 }
 
+/// How often it is looked whether a history that began anew has its chair.
+const ANEW_LOOKS: usize = 20;
+const ANEW_LOOK: std::time::Duration = std::time::Duration::from_millis(200);
+
 #[derive(clap::Subcommand)]
 enum FleetWhat {
     /// Begins the fleet's history with what this gateway was told, once, at the first keeper by name
     Begin,
+    /// Begins it anew at a keeper, after most keepers' disks were lost for good: with the last policy that this one's
+    /// disk holds. What was decided after that is lost, and most keepers that still run elsewhere must not
+    BeginAnew,
 }
 
 #[derive(clap::Args)]
@@ -421,12 +434,17 @@
 }
 
 pub async fn fleet(f: Fleet) -> Done {
-    if let Some(FleetWhat::Begin) = f.what {
+    if let Some(what) = f.what {
+        let anew = matches!(what, FleetWhat::BeginAnew);
+        let at = if anew { "/begin-anew" } else { "/begin" };
         let yes = typed_value::Value::JsonIetfVal(b"true".to_vec());
         let val = Some(TypedValue { value: Some(yes) });
-        let update = vec![gnmi::Update { path: Some(path("/begin")?), val, duplicates: 0 }];
+        let update = vec![gnmi::Update { path: Some(path(at)?), val, duplicates: 0 }];
         let request = gnmi::SetRequest { prefix: prefix(true), update, ..Default::default() };
         client(&f.at).await?.set(request).await?;
+        if anew {
+            return begun_anew(&f.at).await;
+        }
         return say(if f.at.json { r#"{"begun":true}"# } else { "begun" });
     }
     let shown = fleet_shown(&f.at).await?;
@@ -459,6 +477,18 @@
     say(&text)
 }
 
+/// What it began with, by the fleet's log: once the keeper that has a vote alone is the chair.
+async fn begun_anew(at: &At) -> Done {
+    for _ in 0..ANEW_LOOKS {
+        if let Ok(shown) = fleet_shown(at).await {
+            let first = &shown["revisions"][0];
+            return say(&if at.json { first.to_string() } else { plain(&first["what"]) });
+        }
+        tokio::time::sleep(ANEW_LOOK).await;
+    }
+    say("begun anew; no chair sits yet, `ironstair fleet` shows it")
+}
+
 /// Objects as a table of these fields.
 fn rows(all: &Json, columns: &[&str]) -> String {
     let cell = |row: &Json, c: &str| match &row[c] {
--- a/crates/gnmi/src/service.rs
+++ b/crates/gnmi/src/service.rs
@@ -210,9 +210,9 @@
         let prefix = r.prefix.clone().map(words::without_scope);
         let prefix = prefix.as_ref();
         let (commit, master) = extensions(&r.extension)?;
-        let begin = |u: &gnmi::Update| u.path.as_ref().is_some_and(words::is_begin);
-        if scope == Scope::Fleet && r.update.iter().any(begin) {
-            self.desk.begin().await.map_err(|why| refused(&why))?;
+        let begins = r.update.iter().find_map(|u| u.path.as_ref().and_then(words::begins));
+        if let Some(anew) = begins.filter(|_| scope == Scope::Fleet) {
+            self.desk.begin(anew, who.name).await.map_err(|why| refused(&why))?;
             return Ok(Response::new(gnmi::SetResponse { prefix: r.prefix.clone(), ..Default::default() }));
         }
         if r.delete.len() + r.replace.len() + r.update.len() + r.union_replace.len() > PATHS_MOST {
--- a/crates/gnmi/src/words.rs
+++ b/crates/gnmi/src/words.rs
@@ -29,9 +29,13 @@
     prefix
 }
 
-/// Whether a path asks for the fleet's history to begin.
-pub fn is_begin(path: &gnmi::Path) -> bool {
-    path.elem.len() == 1 && path.elem[0].name == "begin"
+/// Whether a path asks for the fleet's history to begin, and whether anew.
+pub fn begins(path: &gnmi::Path) -> Option<bool> {
+    match path.elem.as_slice() {
+        [one] if one.name == "begin" => Some(false),
+        [one] if one.name == "begin-anew" => Some(true),
+        _ => None,
+    }
 }
 
 /// A path as it is asked for, behind its prefix; `target` is this gateway's name, where it is given.
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -10,7 +10,7 @@
 
 use ironstair::Ms;
 use ironstair_accord::chair::{Ask, Refusal};
-use ironstair_accord::{Answer, Beat, Chair, Fleet, Policy, Record};
+use ironstair_accord::{Answer, Beat, Chair, Fleet, Line, Policy, Record};
 use protobuf::Message as _;
 use raft::prelude::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, MessageType};
 use raft::{Config, Progress, ProgressState, RawNode, SnapshotStatus, StateRole};
@@ -116,13 +116,14 @@
 }
 
 impl<D: Policy + Serialize + DeserializeOwned> Keeper<D> {
-    /// The image of a fleet's first disk: a history begins with this keeper alone.
+    /// The image of a fleet's first disk: a history begins with this keeper alone; the line says how, where it does so
+    /// anew.
     ///
     /// # Errors
     /// The document can't be written.
-    pub fn begin(name: &str, id: u64, history: u64, document: D) -> Result<Image, Fault> {
+    pub fn begin(name: &str, id: u64, history: u64, document: D, line: Option<Line>) -> Result<Image, Fault> {
         let mut fleet = Fleet::default();
-        fleet.apply(Record::Begun { history, document });
+        fleet.apply(Record::Begun { history, document, line });
         let voters = BTreeMap::from([(name.to_string(), id)]);
         let state = State { fleet, voters, joining: BTreeMap::new() };
         let data = serde_json::to_vec(&state).map_err(|e| e.to_string())?;
--- a/crates/keeper/tests/seeded.rs
+++ b/crates/keeper/tests/seeded.rs
@@ -157,7 +157,7 @@
                         let how = if self.below(12) == 0 { Err("no".to_string()) } else { Ok(()) };
                         inputs.push(Input::Examined { number, how });
                     }
-                    Action::Hold(_) | Action::Say(_) => {}
+                    Action::Hold(..) | Action::Say(_) => {}
                 }
             }
         }
--- a/crates/mail/src/window.rs
+++ b/crates/mail/src/window.rs
@@ -4,6 +4,7 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use ironstair::{Mandate, Ms};
+use ironstair_accord::Share;
 use ironstair_cells::Keeper;
 use ironstair_mandate::Carriage;
 use ironstair_tree::state::Snapshot;
@@ -14,8 +15,9 @@
     /// The window is wanted as it is now.
     Show,
     Amend(Box<Amendment>),
-    /// Until when the terms hold, by the gateway's clock: after an amendment that it rests on.
-    Tenure(Ms),
+    /// Until when the terms hold, by the gateway's clock, and which share of what all gateways share out, where that is
+    /// not as the terms say: after an amendment that it rests on.
+    Tenure(Ms, Option<Share>),
 }
 
 /// Other terms, taken over whole between two events of the module.
--- a/crates/manage/src/desk.rs
+++ b/crates/manage/src/desk.rs
@@ -89,7 +89,7 @@
     Look(oneshot::Sender<Arc<Tree>>),
     Set(Box<Set>),
     Ask { ask: Box<Ask<Document>>, who: String, scope: Scope, answer: Answer },
-    Begin(Answer),
+    Begin { anew: bool, who: String, answer: Answer },
     Show(oneshot::Sender<Result<Json, Refused>>),
     Examine(Json, oneshot::Sender<Result<(), String>>),
     Hold { mark: u64, number: u64, document: Json, answer: oneshot::Sender<Result<(), String>> },
@@ -170,12 +170,12 @@
         self.told(asks).await.unwrap_or(Err(Refused::Ending))
     }
 
-    /// Begins the fleet's history with what this gateway was told.
+    /// Begins the fleet's history with what this gateway was told; or anew, with what is left of it here.
     ///
     /// # Errors
-    /// It is in no fleet, or a history has begun.
-    pub async fn begin(&self) -> Result<u64, Refused> {
-        self.told(Order::Begin).await.unwrap_or(Err(Refused::Ending))
+    /// It is in no fleet, a history has begun, or it is not lost.
+    pub async fn begin(&self, anew: bool, who: String) -> Result<u64, Refused> {
+        self.told(|answer| Order::Begin { anew, who, answer }).await.unwrap_or(Err(Refused::Ending))
     }
 
     /// What the fleet's chair knows.
@@ -325,10 +325,13 @@
                         }
                     },
                 },
-                Some(Order::Begin(answer)) => match self.meant(Scope::Fleet) {
+                Some(Order::Begin { anew, who, answer }) => match self.meant(Scope::Fleet) {
                     Ok(Some(fleet)) => {
                         let document = serde_json::to_value(&self.told).unwrap_or_default();
-                        want(fleet, answer, |answer| Wanted::Begin { document, answer });
+                        want(fleet, answer, |answer| match anew {
+                            true => Wanted::Anew { document, who, answer },
+                            false => Wanted::Begin { document, answer },
+                        });
                     }
                     other => drop(answer.send(other.map(|_| 0))),
                 },
--- a/crates/manage/src/fleet.rs
+++ b/crates/manage/src/fleet.rs
@@ -33,6 +33,12 @@
         document: Json,
         answer: Answer,
     },
+    /// One begins anew, after most keepers' disks were lost: with what is left here, else with that document.
+    Anew {
+        document: Json,
+        who: String,
+        answer: Answer,
+    },
     /// What the chair knows.
     Show(oneshot::Sender<Result<Json, Refused>>),
 }
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -9,9 +9,10 @@
 use crate::way::Way;
 use ironstair::Ms;
 use ironstair_accord::chair::{Ask, Refusal};
+use ironstair_accord::history::{anew, first, supersedes};
 use ironstair_accord::member::{Action, Input};
 use ironstair_accord::record::Wish;
-use ironstair_accord::{Answer, Beat, Line, Member, Standing};
+use ironstair_accord::{grace, Answer, Beat, Line, Member, Standing};
 use ironstair_archive::Archive;
 use ironstair_keeper::{Keeper, Out, Save, TICK};
 use ironstair_mail::clock::{span, Clock};
@@ -37,6 +38,8 @@
 const ASKS_MOST: usize = 64;
 /// A keeper without a history asks to be let in this often.
 const KNOCK_EVERY: Ms = 500.0;
+/// Each keeper asks the others so often which history they know.
+const COMPARE_EVERY: Ms = 2000.0;
 /// How long a disk that took nothing is left alone.
 const DISK_AGAIN: Ms = 500.0;
 /// While no chair is known each keeper is asked so often in a lease.
@@ -84,9 +87,20 @@
     Saved(Box<Saved>),
     /// The histories that the other keepers know, before one begins here.
     Known(Result<(), String>, Json, ironstair_manage::fleet::Answer),
+    /// The same before one begins anew: what was found, and by whose word with what.
+    KnownAnew(Result<Vec<u64>, String>, Anew),
+    /// A history that another keeper knows.
+    Heard(u64),
     Leave(oneshot::Sender<()>),
 }
 
+/// A history that is to begin anew.
+pub struct Anew {
+    document: Json,
+    who: String,
+    answer: ironstair_manage::fleet::Answer,
+}
+
 pub struct Saved {
     archive: Archive,
     save: Save,
@@ -105,8 +119,10 @@
 struct Kept {
     keeper: Keeper<Json>,
     archive: Option<Archive>,
-    older: bool,
+    /// Why the disk is to be left, once it is not being written.
+    older: Option<&'static str>,
     knock_at: Ms,
+    compare_at: Ms,
     disk_said: bool,
 }
 
@@ -253,7 +269,8 @@
         // Only what comes to pass from now on is news.
         self.lines.clone_from(&keeper.state().fleet.lines);
         let archive = Some(archive);
-        self.kept = Some(Kept { keeper, archive, older: false, knock_at: now, disk_said: false });
+        self.kept =
+            Some(Kept { keeper, archive, older: None, knock_at: now, compare_at: now, disk_said: false });
         Ok(())
     }
 
@@ -296,7 +313,9 @@
                 if number != 0 && self.charter.keepers.contains_key(&name) {
                     k.keeper.knocked(name, number);
                 }
-                let _ = to.send(k.keeper.state().fleet.history);
+                // A blank one may remember what its disk knows no more.
+                let of_disk = k.keeper.state().fleet.history;
+                let _ = to.send(if of_disk == 0 { self.member.held().0 } else { of_disk });
             }
             Mail::Ask(asked, to) => self.asked(asked, to),
             Mail::Answered(answer) => {
@@ -327,6 +346,13 @@
             Mail::Examined(number, how) => self.act(Input::Examined { number, how }),
             Mail::Saved(saved) => self.saved(*saved),
             Mail::Known(how, document, answer) => self.begin(how, document, answer),
+            Mail::KnownAnew(how, anew) => self.begin_anew(how, anew),
+            Mail::Heard(history) => {
+                let own = self.kept.as_ref().map_or(0, |k| k.keeper.state().fleet.history);
+                if own != 0 && supersedes(history, own) && !taken_out("compare") {
+                    self.leave_the_older("the fleet's history began anew without this keeper");
+                }
+            }
             Mail::Leave(done) => {
                 self.leaving = Some(done);
                 self.act(Input::Leave);
@@ -366,6 +392,7 @@
             steady: self.charter.steady,
             keeper: self.kept.is_some(),
             chair: self.chair().unwrap_or_default(),
+            share: self.member.share(),
             members: self.kept.as_ref().map_or(Vec::new(), |k| shown::members(&k.keeper)),
         };
         self.shown.send_if_modified(|was| {
@@ -394,6 +421,18 @@
                 tokio::spawn(async move { drop(way.knock(word, KNOCK_EVERY * 0.8).await) });
             }
         }
+        if now >= k.compare_at {
+            k.compare_at = now + COMPARE_EVERY;
+            for way in self.ways.values() {
+                let (way, word, post) = (way.clone(), self.own.word(b"0".to_vec()), self.post.clone());
+                tokio::spawn(async move {
+                    let known = way.knock(word, COMPARE_EVERY).await;
+                    if let Some(Ok(history)) = known.ok().map(|w| serde_json::from_slice(&w.body)) {
+                        let _ = post.send(Mail::Heard(history)).await;
+                    }
+                });
+            }
+        }
         self.carry(outs);
     }
 
@@ -422,10 +461,11 @@
                         let _ = post.send(Mail::Examined(number, how)).await;
                     });
                 }
-                Action::Hold(until) => {
+                Action::Hold(until, share) => {
                     let until = if taken_out("tenure") { Ms::INFINITY } else { until };
                     // Against a mailbox that is full just then: a steady one is told once, and for good.
-                    if let Err(full) = self.requests.try_send(Request::Tenure(until)) {
+                    let share = Some(share).filter(|_| self.charter.counts);
+                    if let Err(full) = self.requests.try_send(Request::Tenure(until, share)) {
                         let requests = self.requests.clone();
                         tokio::spawn(async move { drop(requests.send(full.into_inner()).await) });
                     }
@@ -501,7 +541,7 @@
                         let _ = to.send(Err(Hint { chair }));
                     }
                 }
-                Out::Older => self.leave_the_older(),
+                Out::Older => self.leave_the_older("the fleet's log here is an older copy"),
             }
         }
     }
@@ -525,8 +565,8 @@
         let now = self.clock.now();
         let Some(k) = &mut self.kept else { return };
         k.archive = Some(archive);
-        if k.older {
-            return self.leave_the_older();
+        if let Some(why) = k.older {
+            return self.leave_the_older(why);
         }
         if let Err(why) = how {
             // It votes on nothing and tells nobody until the disk has it.
@@ -555,15 +595,15 @@
     }
 
     // What this disk once told it had is more than it has: to go on under its number would lose what others rest on.
-    fn leave_the_older(&mut self) {
+    fn leave_the_older(&mut self, why: &'static str) {
         let Some(k) = &mut self.kept else { return };
-        k.older = true;
+        k.older = Some(why);
         let Some(mut archive) = k.archive.take() else { return };
         let how = archive.put_aside(drawn());
         self.kept = None;
         match how.and_then(|aside| self.keep(archive).map(|()| aside)) {
             Ok(aside) => {
-                warn!(self.log, "the fleet's log here is an older copy: put aside, and begun blank"; "aside" => aside);
+                warn!(self.log, "{}: put aside, and begun blank", why; "aside" => aside);
             }
             Err(why) => warn!(self.log, "this keeper takes no part any more"; "why" => why),
         }
@@ -592,6 +632,7 @@
                     });
                 });
             }
+            Wanted::Anew { document, who, answer } => self.look_before_anew(document, who, answer),
             Wanted::Begin { document, answer } => {
                 let first = self.charter.keepers.keys().next();
                 let Some(k) = &self.kept else { return fail(answer, "only a keeper begins a history") };
@@ -630,7 +671,8 @@
             };
             let mut archive = k.archive.take().ok_or("the disk is being written")?;
             // Under the number that it has given to others already.
-            let image = Keeper::begin(&self.charter.name, archive.image().id, drawn(), document)?;
+            let image =
+                Keeper::begin(&self.charter.name, archive.image().id, first(drawn()), document, None)?;
             let begun = archive.begin(image);
             self.kept = None;
             self.keep(archive).and(begun)
@@ -638,6 +680,70 @@
         let _ = answer.send(made.map(|()| 0).map_err(Refused::Fleet));
     }
 
+    /// After most keepers' disks were lost for good, with what is left here; not while a chair answers.
+    fn look_before_anew(&mut self, document: Json, who: String, answer: ironstair_manage::fleet::Answer) {
+        if self.kept.is_none() {
+            let why = "only a keeper begins a history anew".into();
+            return drop(answer.send(Err(Refused::Fleet(why))));
+        }
+        let (lease, ways, own, post) =
+            (self.charter.lease, self.ways.clone(), self.own.clone(), self.post.clone());
+        let searches = [self.search(), self.search()];
+        tokio::spawn(async move {
+            let mut how = Ok(Vec::new());
+            for search in searches {
+                if let Told::Shown(shown) = search.ask(post.clone(), Asked::Show, lease).await {
+                    let chair = shown["chair"].as_str().unwrap_or("one").to_string();
+                    how = Err(format!("{chair} is the chair: the fleet's history is not lost"));
+                    break;
+                }
+                // Leases of a chair that ended just now; then once more.
+                sleep(span(grace(lease))).await;
+            }
+            if let Ok(known) = &mut how {
+                for way in ways.values() {
+                    let told = way.knock(own.word(b"0".to_vec()), lease).await;
+                    known.extend(told.ok().and_then(|w| serde_json::from_slice::<u64>(&w.body).ok()));
+                }
+            }
+            let _ = post.send(Mail::KnownAnew(how, Anew { document, who, answer })).await;
+        });
+    }
+
+    fn begin_anew(&mut self, how: Result<Vec<u64>, String>, Anew { document, who, answer }: Anew) {
+        let made = how.and_then(|mut known| {
+            let k = self.kept.as_mut().ok_or("this gateway is no keeper any more")?;
+            if k.keeper.chair().is_some() {
+                return Err("this keeper is the chair: the fleet's history is not lost".into());
+            }
+            let mut archive = k.archive.take().ok_or("the disk is being written")?;
+            let left = &k.keeper.state().fleet;
+            let remembered = self.member.held().0;
+            let silent = self.ways.len() - known.len().min(self.ways.len());
+            known.extend([left.history, remembered]);
+            let history = anew(known.iter().copied(), drawn())?;
+            let (document, with) = match &left.running {
+                Some((number, running)) => (running.clone(), format!("revision {number}")),
+                None => (document, "what this gateway was told at start".to_string()),
+            };
+            let lost = left.history.max(remembered);
+            let what = format!(
+                "begun anew after history {lost:016x} with {with}: what was decided after that is lost; {silent} keepers did not answer"
+            );
+            let (who, when, standing) = (who, self.clock.now(), Standing::Running);
+            let (number, token, commit, refused) = (0, 0, None, None);
+            warn!(self.log, "the fleet's history begins anew"; "who" => &who, "what" => &what,
+                "history" => format!("{history:016x}"));
+            let line = Line { number, token, who, when, what, standing, commit, refused };
+            let id = drawn();
+            let image = Keeper::begin(&self.charter.name, id, history, document, Some(line))?;
+            let begun = archive.put_aside(id).and_then(|_| archive.begin(image));
+            self.kept = None;
+            self.keep(archive).and(begun)
+        });
+        let _ = answer.send(made.map(|()| 0).map_err(Refused::Fleet));
+    }
+
     /// Finds the chair for what an operator asks, and hands on the outcome.
     fn ask(&mut self, ask: Ask<Json>, answer: ironstair_manage::fleet::Answer) {
         let (search, own) = (self.search(), self.post.clone());
--- a/crates/muster/src/charter.rs
+++ b/crates/muster/src/charter.rs
@@ -21,6 +21,8 @@
     pub lease: Ms,
     /// Goes on without a lease; no change is decided without it.
     pub steady: bool,
+    /// Shares out among the members there are, not among as many as the policy says.
+    pub counts: bool,
     /// Where a keeper's log lies.
     pub folder: Option<PathBuf>,
 }
@@ -52,6 +54,11 @@
         if !(LEASE_LEAST..=LEASE_MOST).contains(&self.lease) {
             return Err(format!("fleet.lease_ms: {} is outside {LEASE_LEAST} to {LEASE_MOST}", self.lease));
         }
+        if self.counts && self.steady {
+            return Err(
+                "fleet.count: who goes on without a lease goes by what was told, not by members".into()
+            );
+        }
         match (self.is_keeper(), &self.folder) {
             (true, None) => {
                 Err(format!("fleet.state: {} is a keeper, and needs a folder for its log", self.name))
--- a/crates/muster/src/shown.rs
+++ b/crates/muster/src/shown.rs
@@ -72,6 +72,8 @@
         "joining": state.joining.keys().collect::<Vec<_>>(),
         "replacing": keeper.replacing(),
         "change": f.change.as_ref().map(|c| change(now, f, chair, c)),
+        "counted": chair.sharing().map(|s| s.0.round()),
+        "sharing": chair.sharing().map(|s| s.1),
         "unconfirmed": f.trial.as_ref().map(|t| &t.id),
         "members": f.members.iter().map(|m| member(now, f, chair, m)).collect::<Vec<_>>(),
         "revisions": f.lines.iter().map(line).collect::<Vec<_>>(),
--- a/crates/tree/src/state.rs
+++ b/crates/tree/src/state.rs
@@ -5,6 +5,7 @@
 use crate::schema::Value;
 use ironstair::logic::{BandView, EngineView};
 use ironstair::{Ms, Standing};
+use ironstair_accord::Share;
 use ironstair_change::journal::Line;
 use ironstair_change::revisions;
 use std::sync::Arc;
@@ -77,6 +78,8 @@
     pub keeper: bool,
     /// Empty where none is known.
     pub chair: String,
+    /// Of what all gateways share out.
+    pub share: Share,
     /// At the chair: who is in.
     pub members: Vec<Member>,
 }
@@ -115,6 +118,8 @@
     n.text("cut-off", cut_off(is.steady));
     n.set("keeper", Value::Bool(is.keeper));
     n.text("chair", &is.chair);
+    n.set("shares-among", Value::Uint(is.share.among.round() as u64));
+    n.set("takes-share", Value::Bool(is.share.taken));
     new
 }
 
