--- a/crates/accord/src/chair.rs
+++ b/crates/accord/src/chair.rs
@@ -152,17 +152,19 @@
             share: None,
         };
         if fleet.history == 0 {
+            answer.soon = true;
             answer.why = Some("the fleet has no history yet: an operator begins it".into());
             return answer;
         }
         let staged = fleet.change.as_ref().filter(|c| c.step == Step::Staged);
         let seen = beat.examined.as_ref().map(|e| e.0);
         answer.offer = staged.filter(|c| seen != Some(c.number)).map(|c| (c.number, c.document.clone()));
-        let seat = Seat { start: beat.start, steady: beat.steady };
+        let seat = Seat { start: beat.start, steady: beat.steady, place: beat.place.clone() };
         match fleet.members.get(&beat.name) {
             Some(s) if *s == seat => {}
             // Not beside a process of that name that may still decide.
-            Some(s) if s.start != seat.start && !s.steady && self.counts(now, fleet, &beat.name) => {
+            Some(s) if self.may_live(now, fleet, s, &seat, &beat.name) => {
+                answer.soon = true;
                 answer.why = Some(format!(
                     "another process is {} in this fleet, or was until a moment ago",
                     beat.name
@@ -172,6 +174,7 @@
             _ => {
                 if !beat.leaving {
                     self.knocking.insert(beat.name.clone(), seat);
+                    answer.soon = true;
                 }
                 return answer;
             }
@@ -311,6 +314,12 @@
         Some(record)
     }
 
+    /// Whether an earlier process of that name may still decide, for all that a later one shows.
+    fn may_live(&self, now: Ms, fleet: &Fleet<D>, earlier: &Seat, later: &Seat, name: &str) -> bool {
+        let other = earlier.start != later.start && !earlier.steady;
+        other && !earlier.ended_before(later) && self.counts(now, fleet, name)
+    }
+
     fn count_all(&mut self, now: Ms, fleet: &Fleet<D>) {
         self.count(fleet);
         let Some(mut count) = self.count.take() else { return };
@@ -334,8 +343,7 @@
         let left = fleet.members.iter().filter(gone).map(|(name, seat)| (name.clone(), seat.start));
         let left: Vec<_> = left.take(SEATED_AT_ONCE).collect();
         let joined = self.knocking.iter().filter(|(name, seat)| {
-            let same = fleet.members.get(*name).is_some_and(|s| s.steady || s.start == seat.start);
-            same || !self.counts(now, fleet, name)
+            !fleet.members.get(*name).is_some_and(|s| self.may_live(now, fleet, s, seat, name))
         });
         let joined: Vec<_> = joined.take(SEATED_AT_ONCE).map(|(n, s)| (n.clone(), s.clone())).collect();
         (!left.is_empty() || !joined.is_empty()).then_some(Record::Members { joined, left })
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -77,6 +77,9 @@
     /// What it makes of a change that is staged: its number, and why it can't be here.
     pub examined: Option<(u64, Result<(), String>)>,
     pub leaving: bool,
+    /// What its process holds for itself alone as long as it lives; empty where nothing is.
+    #[serde(default)]
+    pub place: String,
     /// Takes a share of what all share out, by a lease that it holds.
     #[serde(default)]
     pub shares: bool,
@@ -97,7 +100,8 @@
     pub lease: Option<Ms>,
     /// Why there is no lease, where that is not for the mark alone.
     pub why: Option<String>,
-    /// A change is under way: its next step goes out with the next beat, which is wanted soon.
+    /// The next step goes out with the next beat, which is wanted soon: a change is under way, or the member is not in
+    /// yet or does not hold what it is to.
     #[serde(default)]
     pub soon: bool,
     /// Goes with the lease.
--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -67,6 +67,7 @@
     leaving: bool,
     said: Option<String>,
     share: Share,
+    place: String,
 }
 
 impl Member {
@@ -88,9 +89,17 @@
             leaving: false,
             said: None,
             share: Share::default(),
+            place: String::new(),
         }
     }
 
+    /// What this process holds for itself alone as long as it lives: a later one of its name that holds it needs not
+    /// wait for this one's lease.
+    pub fn holding(mut self, place: String) -> Self {
+        self.place = place;
+        self
+    }
+
     /// Whether it may decide.
     pub fn holds(&self, now: Ms) -> bool {
         now < self.until
@@ -152,6 +161,7 @@
                 steady: self.steady,
                 examined: self.examined.clone(),
                 leaving: self.leaving,
+                place: self.place.clone(),
                 // A share is over with the lease that it came with.
                 shares: self.share.taken && self.holds(now),
             }));
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -31,6 +31,17 @@
     pub start: u64,
     /// It goes on without a lease: no change is decided without it.
     pub steady: bool,
+    /// What it holds for itself alone as long as it lives: who holds that after it knows that it is no more. Empty where
+    /// that is not known.
+    #[serde(default)]
+    pub place: String,
+}
+
+impl Seat {
+    /// Whether another process of that name proves by what it holds that this one has ended.
+    pub fn ended_before(&self, other: &Seat) -> bool {
+        !self.place.is_empty() && self.place == other.place && self.start != other.start
+    }
 }
 
 /// A change that somebody wants.
--- a/crates/accord/tests/chair.rs
+++ b/crates/accord/tests/chair.rs
@@ -41,8 +41,8 @@
     fn of_start(&self, name: &str, start: u64) -> Beat {
         let (history, mark, sent) = (7, self.fleet.mark, self.now);
         let (name, heard, steady, examined, leaving) = (name.into(), sent, false, None, false);
-        let shares = false;
-        Beat { name, start, sent, history, mark, heard, steady, examined, leaving, shares }
+        let (shares, place) = (false, String::new());
+        Beat { name, start, sent, history, mark, heard, steady, examined, leaving, shares, place }
     }
 
     fn say(&mut self, beat: &Beat) -> Answer<Pol> {
@@ -138,6 +138,27 @@
     assert!(d.fleet.members.is_empty());
 }
 
+#[test]
+fn who_holds_what_the_last_process_of_its_name_held_needs_not_wait_for_its_lease() {
+    // Against seven seconds without service after a kill: what only one process can hold proves that the last has ended.
+    for (held, holds, waits) in
+        [("here", "here", false), ("here", "there", true), ("", "", true), ("", "here", true)]
+    {
+        let mut d = Desk::of(&["b"], false);
+        let first = Beat { place: held.into(), ..d.of_start("a", 1) };
+        d.say(&first);
+        d.write();
+        assert_eq!(d.say(&first).lease, Some(LEASE));
+        let second = Beat { place: holds.into(), ..d.of_start("a", 2) };
+        let told = d.say(&second);
+        assert_eq!((told.lease, told.why.is_some(), told.soon), (None, waits, true), "{held:?}, {holds:?}");
+        d.write();
+        assert_eq!(d.say(&second).lease.is_none(), waits, "{held:?}, {holds:?}");
+        // The first is never granted another one.
+        assert_eq!(d.say(&first).lease.is_some(), waits);
+    }
+}
+
 #[test]
 fn one_change_at_a_time_and_none_that_has_nothing_in_common() {
     let mut d = Desk::of(&["a"], false);
--- a/crates/accord/tests/played/mod.rs
+++ b/crates/accord/tests/played/mod.rs
@@ -45,6 +45,8 @@
 impl Gate {
     pub fn new(nth: usize, start: u64) -> Gate {
         let member = Member::new(["a", "b", "c"][nth], start, false, LEASE);
+        // A later process of its name proves that this one has ended.
+        let member = member.holding(format!("place {nth}"));
         Gate {
             member,
             holding: NONE,
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -15,7 +15,7 @@
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::thread;
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -156,6 +156,27 @@
     until("all have their shares again", || all(&rig));
 }
 
+/// One is killed and started anew, in a fleet whose leases last longer than any test waits.
+fn killed_within_a_lease(test: &str, plan: Plan) -> Rig {
+    let mut rig = Rig::started(test, &Plan { lease_ms: 40_000, ..plan });
+    rig.kill(4);
+    rig.start(4);
+    rig
+}
+
+#[test]
+fn who_is_killed_and_comes_back_where_it_was_waits_for_no_lease() {
+    let rig = killed_within_a_lease("in-place", Plan::default());
+    rig.until_fit(4);
+}
+
+#[test]
+fn control_without_proof_of_its_last_end_it_waits() {
+    let rig = killed_within_a_lease("no-proof", Plan { without: vec![(None, "place")], ..Plan::default() });
+    until("it is told why", || rig.log(4).contains("another process is g5 in this fleet"));
+    assert!(!rig.fit(4));
+}
+
 /// Who is killed in one moment, under load, and comes back at once.
 #[test]
 fn case_1_most_killed_in_one_moment_all_but_one_and_all() {
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -136,6 +136,8 @@
 pub struct Opened {
     charter: Charter,
     bound: TcpListener,
+    /// Held as long as this process lives, whatever becomes of who serves it.
+    held: TcpListener,
     archive: Option<Archive>,
     note: Option<String>,
 }
@@ -150,12 +152,13 @@
     /// The address is not free, or the disk can't be used; one sentence.
     pub fn open(charter: Charter) -> Result<Opened, String> {
         let bound = serve::bind(charter.listen)?;
+        let held = bound.try_clone().map_err(|e| format!("fleet.listen: {e}"))?;
         let archive = charter.folder.as_ref();
         let number = if taken_out("number") { named(&charter.name) } else { drawn() };
         let open = |folder| Archive::open(folder, &charter.fleet, &charter.name, number);
         let archive = archive.map(|f| open(f).map_err(|e| format!("fleet.state: {e}"))).transpose()?;
         let (archive, note) = archive.map_or((None, None), |a| (Some(a.archive), a.note));
-        Ok(Opened { charter, bound, archive, note })
+        Ok(Opened { charter, bound, held, archive, note })
     }
 }
 
@@ -188,6 +191,8 @@
     votes: bool,
     /// The revisions as last told to the log.
     lines: VecDeque<Line>,
+    /// No later process of this name listens where this one does before it has ended.
+    _held: TcpListener,
 }
 
 /// The ends of an actor that others hold.
@@ -209,7 +214,7 @@
         clock: Clock,
         log: Logger,
     ) -> Result<(Actor, Leave), String> {
-        let Opened { charter, bound, archive, note } = opened;
+        let Opened { charter, bound, held, archive, note } = opened;
         let own = Own { fleet: charter.fleet.clone(), name: charter.name.clone(), start: drawn() };
         let (post, inbox) = mpsc::channel(MAILBOX);
         if let Some(note) = note {
@@ -219,6 +224,8 @@
         let ways = others.map(|(name, at)| Ok((name.clone(), Way::to(*at)?)));
         let ways = ways.collect::<Result<BTreeMap<_, _>, String>>()?;
         let member = Member::new(&charter.name, own.start, charter.steady, charter.lease);
+        let member =
+            member.holding(if taken_out("place") { String::new() } else { serve::place(charter.listen) });
         let serving = serve::serve(bound, own.clone(), post.clone(), log.clone());
         let said = log.clone();
         tokio::spawn(async move {
@@ -250,6 +257,7 @@
             held: false,
             votes: false,
             lines: VecDeque::new(),
+            _held: held,
         };
         if let Some(archive) = archive {
             actor.keep(archive)?;
--- a/crates/muster/src/serve.rs
+++ b/crates/muster/src/serve.rs
@@ -200,6 +200,20 @@
     server.serve_with_incoming(links).await.map_err(|e| e.to_string())
 }
 
+/// What this process holds for itself alone as long as it lives, its listener's address: on this machine since it
+/// started, in this network namespace. A stopped process holds it, and one whose threads have not all ended. Empty
+/// where the system does not tell both.
+pub fn place(listen: std::net::SocketAddr) -> String {
+    let machine = std::fs::read_to_string("/proc/sys/kernel/random/boot_id");
+    let network = std::fs::read_link("/proc/self/ns/net");
+    match (machine, network) {
+        (Ok(machine), Ok(network)) if listen.port() != 0 => {
+            format!("{} {} {listen}", machine.trim(), network.display())
+        }
+        _ => String::new(),
+    }
+}
+
 /// Bound before anything is started: a port in use is told at once.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/trial/src/clients.rs
@@ -0,0 +1,165 @@
+//! Who asks: submissions that come by chance, and come again when they are turned back. All figures are assumed.
+
+use ironstair::sums::{mix, Pcg};
+use ironstair::{Kind, Mandate, Ms, Ration, Repeat, Terms};
+
+/// One band: how often it is asked for, and what that takes.
+struct Asked {
+    share: f64,
+    threads: f64,
+    work: f64,
+    expected: Ms,
+    limit: Ms,
+    payoff: f64,
+    repeat: Repeat,
+}
+
+const BANDS: [Asked; 3] = [
+    Asked {
+        share: 0.8,
+        threads: 1.0,
+        work: 120.0,
+        expected: 600.0,
+        limit: 2500.0,
+        payoff: 1.0,
+        repeat: Repeat::Repeatable,
+    },
+    Asked {
+        share: 0.08,
+        threads: 4.0,
+        work: 2400.0,
+        expected: 5000.0,
+        limit: 12_000.0,
+        payoff: 8.0,
+        repeat: Repeat::Repeatable,
+    },
+    Asked {
+        share: 0.12,
+        threads: 1.0,
+        work: 80.0,
+        expected: 600.0,
+        limit: 2500.0,
+        payoff: 2.0,
+        repeat: Repeat::OnceOnly,
+    },
+];
+/// Multiples of it fall evenly between whole numbers.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+const TABLE_GROUPS: f64 = 60.0;
+/// Advice is at most this, and who gets none comes back after so long; a client tries so often.
+pub const COME_BACK_MOST: Ms = 2000.0;
+const COMES_AT_ONCE: Ms = 50.0;
+const TRIES: u8 = 6;
+
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub band: usize,
+    pub work: f64,
+    pub tables: u64,
+    pub born: Ms,
+    pub limit: Ms,
+    pub tries: u8,
+    ignores: bool,
+    /// It is not asked for any more.
+    pub over: bool,
+    /// Reached an engine that may have run it.
+    pub out: u32,
+}
+
+fn share(chance: &mut Pcg) -> f64 {
+    (chance.lot() as f64 + 0.5) / 4294967296.0
+}
+
+/// One of so many.
+pub fn one_of(chance: &mut Pcg, n: usize) -> usize {
+    (share(chance) * n as f64) as usize % n.max(1)
+}
+
+pub fn once_only(band: usize) -> bool {
+    BANDS[band].repeat == Repeat::OnceOnly
+}
+
+pub fn payoff(band: usize) -> f64 {
+    BANDS[band].payoff
+}
+
+pub fn threads(band: usize) -> f64 {
+    BANDS[band].threads
+}
+
+pub fn in_time(s: &Submission, at: Ms) -> bool {
+    at - s.born <= BANDS[s.band].expected
+}
+
+/// What a gateway is told.
+pub fn mandate(gateways: f64) -> Mandate {
+    use crate::engine::{COLD_FROM, CORES, FALL_MULTIPLE, FALL_SPAN, WARM_AFTER};
+    let band = |a: &Asked| Terms {
+        expected: a.expected,
+        payoff: a.payoff,
+        threads: a.threads,
+        repeat: a.repeat,
+        ..Terms::default()
+    };
+    Mandate {
+        gateways,
+        bands: BANDS.iter().map(band).collect(),
+        kinds: vec![Kind { cores: CORES, memory_mb: 32_768.0 }],
+        lines_up: true,
+        tries_marked: true,
+        may_withdraw: true,
+        come_back_most: COME_BACK_MOST,
+        most_forwards: 6,
+        cold_from: COLD_FROM,
+        warm_after: WARM_AFTER,
+        fall_multiple: FALL_MULTIPLE,
+        fall_span: FALL_SPAN,
+        ration: Some(Ration { spare: 10.0, share: 0.1, span: 10_000.0 }),
+        tick: 5.0,
+        ..Mandate::default()
+    }
+}
+
+/// Submissions a ms that so many engines would do with that share of their cores.
+pub fn rate(engines: u32, load: f64) -> f64 {
+    let mean: f64 = BANDS.iter().map(|a| a.share * a.work).sum();
+    load * engines as f64 * crate::engine::CORES / mean
+}
+
+/// Until the next one, in ms: even, so that a second's payoff tells of the service and not of who came in it.
+pub fn pause(chance: &mut Pcg, rate: f64) -> Ms {
+    (0.5 + share(chance)) / rate
+}
+
+/// The nth; bands come in turn, by their shares.
+pub fn drawn(chance: &mut Pcg, nth: usize, now: Ms, ignore: f64) -> Submission {
+    let (lot, mut band) = ((nth as f64 * GOLDEN).fract(), 0);
+    let mut sum = BANDS[0].share;
+    while lot > sum && band + 1 < BANDS.len() {
+        band += 1;
+        sum += BANDS[band].share;
+    }
+    // Few table groups get most of the work.
+    let group = (TABLE_GROUPS * share(chance) * share(chance)) as u64;
+    let work = BANDS[band].work * (0.4 + 1.2 * share(chance));
+    let (ignores, limit) = (share(chance) < ignore, now + BANDS[band].limit);
+    Submission {
+        band,
+        work,
+        tables: mix(group + 1),
+        born: now,
+        limit,
+        tries: 0,
+        ignores,
+        over: false,
+        out: 0,
+    }
+}
+
+impl Submission {
+    /// When its client comes again after it was turned back with that advice, where it does.
+    pub fn again(&self, now: Ms, advice: Ms) -> Option<Ms> {
+        let at = now + if self.ignores { COMES_AT_ONCE } else { advice.max(COMES_AT_ONCE) };
+        (self.tries < TRIES && at < self.limit).then_some(at)
+    }
+}
--- /dev/null
+++ b/crates/trial/src/fleet.rs
@@ -0,0 +1,71 @@
+//! Gateways among themselves: the built chair and members. Agreement is played as the library gives it (a chair while
+//! two of three keepers run, another after an election's time, a record after a round); that the library does so is
+//! what `crates/keeper` is tested for.
+
+use ironstair::Ms;
+use ironstair_accord::{Answer, Beat, Chair, Fleet, Policy, Record};
+
+pub const KEEPERS: usize = 3;
+/// An election takes twelve of the library's ticks of 50 ms and a round; a record a round of two ways and disks.
+const ELECTION: Ms = 700.0;
+const ROUND: Ms = 5.0;
+pub const TICK: Ms = 50.0;
+
+/// The policy, as far as a fleet's decisions look into it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told(pub f64);
+
+impl Policy for Told {
+    fn stricter(&self, other: &Self) -> Option<Self> {
+        Some(Told(self.0.max(other.0)))
+    }
+    fn gateways(&self) -> f64 {
+        self.0
+    }
+}
+
+pub struct Log {
+    fleet: Fleet<Told>,
+    lease: Ms,
+    chair: Option<(usize, Chair<Told>)>,
+    /// Since when there could be one.
+    quorum_since: Option<Ms>,
+    writing: Option<(Ms, Record<Told>)>,
+}
+
+impl Log {
+    pub fn new(gateways: f64, lease: Ms) -> Log {
+        let mut fleet = Fleet::default();
+        fleet.apply(Record::Begun { history: 1 << 48, document: Told(gateways), line: None });
+        Log { fleet, lease, chair: None, quorum_since: Some(-ELECTION), writing: None }
+    }
+
+    /// Time has gone on by a tick; who of the keepers runs.
+    pub fn tick(&mut self, now: Ms, runs: [bool; KEEPERS]) {
+        if runs.iter().filter(|r| **r).count() < 2 {
+            (self.chair, self.writing, self.quorum_since) = (None, None, None);
+            return;
+        }
+        if self.chair.as_ref().is_some_and(|c| !runs[c.0]) {
+            (self.chair, self.writing, self.quorum_since) = (None, None, Some(now));
+        }
+        self.quorum_since = self.quorum_since.or(Some(now));
+        if self.chair.is_none() && self.quorum_since.is_some_and(|s| now >= s + ELECTION) {
+            let first = runs.iter().position(|r| *r).unwrap_or(0);
+            self.chair = Some((first, Chair::new(now, self.lease)));
+        }
+        let Some((_, chair)) = &mut self.chair else { return };
+        if let Some((_, record)) = self.writing.take_if(|w| w.0 <= now) {
+            self.fleet.apply(record);
+            chair.applied();
+        }
+        if self.writing.is_none() {
+            self.writing = chair.next(now, &self.fleet).map(|r| (now + ROUND, r));
+        }
+    }
+
+    pub fn beat(&mut self, now: Ms, beat: &Beat) -> Option<Answer<Told>> {
+        let (_, chair) = self.chair.as_mut()?;
+        Some(chair.beat(now, &self.fleet, beat))
+    }
+}
--- /dev/null
+++ b/crates/trial/tests/days.rs
@@ -0,0 +1,78 @@
+//! Days in virtual time: the same seed plays the same, no promise is broken, and what is wrong with a day is told by
+//! its field.
+
+use ironstair_trial::world::play;
+use ironstair_trial::{Day, Figures};
+
+fn day(more: &str) -> Day {
+    let text =
+        format!(r#"{{"name": "d", "seconds": 25, "gateways": 20, "engines": 6, "load": 0.5, {more}}}"#);
+    Day::decode(text.as_bytes()).unwrap()
+}
+
+fn well(figures: &Figures) {
+    assert_eq!((figures.broken, figures.fell()), (0, 0), "seed {}: {:?}", figures.seed, figures.breaches);
+}
+
+#[test]
+fn the_same_seed_plays_the_same_day_and_another_another() {
+    let d = day(
+        r#""fleet": "members", "faults": [{"at_s": 8, "what": {"kill_gateways": {"share": 0.7, "back_s": 1}}}]"#,
+    );
+    let (one, again, other) = (play(&d, 3), play(&d, 3), play(&d, 4));
+    assert_eq!(one, again);
+    assert_ne!(one.digest, other.digest);
+}
+
+#[test]
+fn days_of_faults_break_no_promise_and_come_back() {
+    let kill = r#"{"at_s": 8, "what": {"kill_gateways": {"share": 0.7, "back_s": 1}}}"#;
+    let cold = r#"{"at_s": 8, "what": {"kill_engines": {"share": 0.34, "back_s": 1}}}"#;
+    let stop = r#"{"at_s": 8, "what": {"stop_gateways": {"share": 0.5, "for_s": 4}}}"#;
+    let keepers = r#"{"at_s": 8, "what": {"kill_keepers": {"back_s": 5}}}"#;
+    let names = r#"{"at_s": 7, "what": {"names_down": {"for_s": 5}}}"#;
+    for fleet in ["none", "told", "members"] {
+        for (faults, comes_back) in [
+            (kill.to_string(), true),
+            (format!("{kill}, {cold}"), false),
+            (stop.to_string(), true),
+            (format!("{keepers}, {names}"), true),
+        ] {
+            let d = day(&format!(r#""fleet": "{fleet}", "ignore_advice": 0.33, "faults": [{faults}]"#));
+            let figures = play(&d, 1);
+            well(&figures);
+            assert!(!comes_back || figures.full_after().is_some(), "{d:?}: {:?}", figures.seconds);
+        }
+    }
+    // Nothing happens, and nearly all is kept.
+    let quiet = play(&day(r#""faults": []"#), 1);
+    well(&quiet);
+    assert!(quiet.kept() > 0.9, "{}", quiet.kept());
+}
+
+#[test]
+fn what_is_wrong_with_a_day_is_told_by_its_field() {
+    for (text, why) in [
+        ("", "the day: EOF"),
+        (r#"{"name": "d"}"#, "the day: missing field `gateways`"),
+        (r#"{"name": "d", "gateways": 0, "engines": 1, "load": 1}"#, "gateways: 0 is outside 1 to 1000"),
+        (
+            r#"{"name": "d", "gateways": 2, "engines": 1, "load": 1, "fleet": "told"}"#,
+            "fleet: it needs 3 gateways",
+        ),
+        (r#"{"name": "d", "gateways": 2, "engines": 1, "load": 9}"#, "load: 9 is outside"),
+        (r#"{"name": "d", "gateways": 2, "engines": 1, "load": 1, "seed": 1}"#, "seed: unknown field `seed`"),
+        (
+            r#"{"name": "d", "gateways": 2, "engines": 1, "load": 1, "faults": [{"at_s": 1, "what": {"kill_engines": {"share": 2, "back_s": 1}}}]}"#,
+            "faults[0].what.share: 2 is outside 0 to 1",
+        ),
+        (
+            r#"{"name": "d", "gateways": 2, "engines": 1, "load": 1, "faults": [{"at_s": 99, "what": {"names_down": {"for_s": 1}}}]}"#,
+            "faults[0].at_s: 99 is outside 0 to 60",
+        ),
+    ] {
+        let told = Day::decode(text.as_bytes()).unwrap_err();
+        assert!(told.starts_with(why), "{text}: {told}");
+    }
+    assert!(Day::schema().contains("kill_gateways"));
+}
