--- a/crates/trial/src/day.rs
+++ b/crates/trial/src/day.rs
@@ -60,7 +60,13 @@
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum What {
     /// That share of them, in one moment; each back after so long.
-    KillGateways { share: f64, back_s: f64 },
+    KillGateways {
+        share: f64,
+        back_s: f64,
+        /// Those among them that keep the fleet's log are spared: with most of those gone, a fleet decides nothing.
+        #[serde(default)]
+        but_keepers: bool,
+    },
     /// Stopped, and gone on: what came meanwhile is found then.
     StopGateways { share: f64, for_s: f64 },
     /// That share of the engines; back cold.
@@ -86,7 +92,7 @@
 impl What {
     fn figures(&self) -> [(&'static str, f64, f64); 2] {
         match *self {
-            What::KillGateways { share, back_s } | What::KillEngines { share, back_s } => {
+            What::KillGateways { share, back_s, .. } | What::KillEngines { share, back_s } => {
                 [("share", share, 1.0), ("back_s", back_s, 3600.0)]
             }
             What::StopGateways { share, for_s } => [("share", share, 1.0), ("for_s", for_s, 3600.0)],
