Read over: one thread owns the folder, two beginnings anew leave one history, controls

One thread reads, then writes. - The end waited 300 ms for the disk: on a busy machine its clean word was lost. It has what is left of the time. - The fleet listener's handle went with management's thread, while the gateway decided on by its lease: kept to the process's end. - Two operators who begin anew at once made two histories of one generation, of which neither went before: the larger number does, and none begun anew is of the first generation. Members' histories count as known. - begin-anew took the disk before what could fail, and slept once too often. - The tree showed a share where none is counted. Controls: without most keepers (tenure), a steady one that does not say so, a trial without its time, a share not waited for in virtual time; a test of the count's slow fall. Models share their hashing.

--- a/crates/accord/src/count.rs
+++ b/crates/accord/src/count.rs
@@ -20,7 +20,7 @@
 }
 
 impl Share {
-    /// Whether the decisions are to hear of it: at once where it grew less, in some steps where it grew.
+    /// Whether the decisions are to hear of it: at once where the count grew, in some steps where it shrank.
     pub fn differs(self, was: Share) -> bool {
         self.taken != was.taken || self.among > was.among || self.among < was.among * (1.0 - HEARD)
     }
@@ -41,7 +41,7 @@
     grace: Ms,
     used: f64,
     at: Ms,
-    /// Smaller ones before larger: since when each is no more told. What was told within a grace still counts.
+    /// What was told before each growth, and until when. Within a grace after that a lease may rest on it.
     told: VecDeque<(Ms, f64)>,
     sharing: BTreeMap<String, u64>,
 }
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -101,7 +101,7 @@
     /// Why there is no lease, where that is not for the mark alone.
     pub why: Option<String>,
     /// The next step goes out with the next beat, which is wanted soon: a change is under way, or the member is not in
-    /// yet or does not hold what it is to.
+    /// yet.
     #[serde(default)]
     pub soon: bool,
     /// Goes with the lease.
--- a/crates/accord/tests/chair.rs
+++ b/crates/accord/tests/chair.rs
@@ -1,6 +1,7 @@
 //! What a chair grants and writes, case by case.
 
 use ironstair_accord::chair::{Ask, Refusal};
+use ironstair_accord::count::Count;
 use ironstair_accord::record::Wish;
 use ironstair_accord::{Answer, Beat, Chair, Fleet, Policy, Record, Standing};
 
@@ -222,3 +223,27 @@
     let hears = Beat { heard: d.now - 0.5 * LEASE, ..d.of_start("a", 1) };
     assert_eq!(d.say(&hears).lease, Some(LEASE));
 }
+
+#[test]
+fn the_count_shrinks_slowly_and_who_comes_back_finds_its_place_and_who_comes_beyond_it_waits() {
+    let grace = 1.1 * LEASE;
+    let mut count = Count::new(0.0, LEASE, grace, 5.0);
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let takes =
+        |count: &mut Count, now: f64, nth: usize, start| count.share(now, names[nth], start, false).taken;
+    // Nobody new before no lease of an earlier chair is left.
+    assert!(!takes(&mut count, grace - 1.0, 0, 1));
+    count.look(grace, 5, |_, _| true);
+    assert!((0..4).all(|nth| takes(&mut count, grace, nth, 1)));
+    // Three of five end; a lease later nearly all places are kept.
+    count.look(grace + LEASE, 2, |name, _| ["a", "b"].contains(&name));
+    let (used, sharing) = count.shown();
+    assert!(sharing == 2 && (4.7..4.9).contains(&used), "{used}");
+    assert!(takes(&mut count, grace + LEASE, 2, 2) && takes(&mut count, grace + LEASE, 3, 2));
+    // One more than the count: it grows at once, and the last waits for a grace.
+    let now = grace + LEASE + 1.0;
+    count.look(now, 6, |_, _| true);
+    assert_eq!((count.shown().0, takes(&mut count, now, 4, 1)), (6.0, false));
+    count.look(now + grace, 6, |_, _| true);
+    assert!(takes(&mut count, now + grace, 4, 1));
+}
--- a/crates/accord/tests/count.rs
+++ b/crates/accord/tests/count.rs
@@ -7,7 +7,6 @@
 use ironstair_accord::{Chair, Fleet, Record};
 use played::{Gate, Pol, LEASE};
 use stateright::{Checker, HasDiscoveries, Model, Property};
-use std::hash::{Hash, Hasher};
 
 const GATES: usize = 3;
 
@@ -28,13 +27,7 @@
     chairs: u8,
 }
 
-impl Eq for World {}
-
-impl Hash for World {
-    fn hash<H: Hasher>(&self, to: &mut H) {
-        format!("{self:?}").hash(to);
-    }
-}
+played::hashed_as_shown!(World);
 
 #[derive(Clone, Debug, PartialEq)]
 enum Move {
--- a/crates/accord/tests/keepers.rs
+++ b/crates/accord/tests/keepers.rs
@@ -10,7 +10,6 @@
 use ironstair_accord::{Chair, Fleet, Record};
 use played::{wish, Gate, Pol, LEASE};
 use stateright::{Checker, HasDiscoveries, Model, Property};
-use std::hash::{Hash, Hasher};
 
 const KEEPERS: usize = 3;
 const GATES: usize = 2;
@@ -108,13 +107,7 @@
     tick: f64,
 }
 
-impl Eq for World {}
-
-impl Hash for World {
-    fn hash<H: Hasher>(&self, to: &mut H) {
-        format!("{self:?}").hash(to);
-    }
-}
+played::hashed_as_shown!(World);
 
 /// Who votes by a log: one more vote than this keeper's is a quorum of three.
 fn voters(log: &[(u8, Entry)], upto: usize) -> [u8; KEEPERS] {
--- a/crates/accord/tests/orders.rs
+++ b/crates/accord/tests/orders.rs
@@ -10,7 +10,6 @@
 use ironstair_accord::{Chair, Fleet, Record};
 use played::{wish, Gate, Pol, LEASE, UNREAD};
 use stateright::{Checker, HasDiscoveries, Model, Property};
-use std::hash::{Hash, Hasher};
 
 #[derive(Clone, Debug, PartialEq)]
 struct World {
@@ -38,13 +37,7 @@
     pauses: u8,
 }
 
-impl Eq for World {}
-
-impl Hash for World {
-    fn hash<H: Hasher>(&self, to: &mut H) {
-        format!("{self:?}").hash(to);
-    }
-}
+played::hashed_as_shown!(World);
 
 #[derive(Clone, Debug, PartialEq)]
 enum Move {
--- a/crates/accord/tests/played/mod.rs
+++ b/crates/accord/tests/played/mod.rs
@@ -8,6 +8,20 @@
 use ironstair_accord::record::Wish;
 use ironstair_accord::{Answer, Beat, Member, Policy};
 
+/// States are told apart by all that they show: the decisions bear figures, which can't be hashed.
+macro_rules! hashed_as_shown {
+    ($world:ty) => {
+        impl Eq for $world {}
+
+        impl std::hash::Hash for $world {
+            fn hash<H: std::hash::Hasher>(&self, to: &mut H) {
+                format!("{self:?}").hash(to);
+            }
+        }
+    };
+}
+pub(crate) use hashed_as_shown;
+
 pub const LEASE: f64 = 3.0;
 /// Gateway 1 is of an older version: it can't read this policy.
 pub const UNREAD: u8 = 2;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -27,8 +27,6 @@
 const READ_WITHIN: Duration = Duration::from_secs(1);
 /// Written anew so often, so that the age of the list is known.
 const KEEP_EVERY: Ms = 10_000.0;
-/// How long the end waits for the last word to be written.
-const END_WITHIN: Ms = 300.0;
 
 enum Mail {
     Roster(u32, Vec<Engine>),
@@ -82,13 +80,19 @@
     /// Worth a line in the log.
     pub notes: Vec<String>,
     kept: Kept,
+    writes: Sender<Write>,
 }
 
 /// What the last process kept, as far as it is good for anything: its list goes into what is told.
 pub fn begin(folder: &Path, told: &mut Told) -> Begun {
     let (tell, answer) = mpsc::sync_channel(1);
+    let (writes, waiting) = bounded(1);
     let own = folder.to_path_buf();
-    let reads = thread::Builder::new().name("recovery".into()).spawn(move || drop(tell.send(read(&own))));
+    // The one thread that touches the folder: what a slow one reads or writes late comes before what is written next.
+    let reads = thread::Builder::new().name("recovery".into()).spawn(move || {
+        let _ = tell.send(read(&own));
+        write_on(&own, &waiting);
+    });
     let late = || Err(format!("{}: not read within {READ_WITHIN:?}", folder.display()));
     let kept = match reads {
         Ok(_) => answer.recv_timeout(READ_WITHIN).unwrap_or_else(|_| late()),
@@ -108,22 +112,15 @@
         };
         (told.rev, told.known) = (rev, engines.into_iter().map(place).collect());
     }
-    Begun { rests: begun.rests, notes, kept }
+    Begun { rests: begun.rests, notes, kept, writes }
 }
 
 impl Memory {
     /// Must be called before the executor of `shared` runs.
-    pub fn start(folder: &Path, begun: Begun, shared: Rc<Shared>) -> Memory {
+    pub fn start(begun: Begun, shared: Rc<Shared>) -> Memory {
         let (mail, inbox) = bounded(4);
-        let (bytes, waiting) = bounded(1);
-        let (own, log) = (folder.to_path_buf(), shared.log.clone());
-        let writes =
-            thread::Builder::new().name("recovery".into()).spawn(move || write_on(&own, &waiting, &log));
-        if let Err(e) = writes {
-            warn!(shared.log, "nothing is kept for the next process"; "why" => %e);
-        }
         let executor = shared.executor.clone();
-        executor.spawn(tend(begun.kept, shared, inbox, bytes)).detach();
+        executor.spawn(tend(begun.kept, shared, inbox, begun.writes)).detach();
         Memory { mail }
     }
 
@@ -142,19 +139,24 @@
         let _ = self.mail.try_send(Mail::Roster(rev, lines.iter().map(line).collect()));
     }
 
-    /// The process ends: told whether anything is out. Waits for the disk, but not for long.
-    pub async fn end(self) {
+    /// The process ends: kept is whether anything is out. Waits for the disk for so long, in ms, at most.
+    pub async fn end(self, within: Ms) {
         let (done, told) = bounded(1);
         let said = async {
             if self.mail.send(Mail::End(done)).await.is_ok() {
                 let _ = told.recv().await;
             }
         };
-        or(said, async { _ = Timer::after(span(END_WITHIN)).await }).await;
+        or(said, async { _ = Timer::after(span(within)).await }).await;
     }
 }
 
-type Write = (Vec<u8>, Option<Sender<()>>);
+/// What is to be written, who is told once it is, and where it is said that it can't be.
+struct Write {
+    bytes: Vec<u8>,
+    done: Option<Sender<()>>,
+    log: Logger,
+}
 
 /// One mailbox, one owner of what is kept.
 async fn tend(mut kept: Kept, shared: Rc<Shared>, inbox: Receiver<Mail>, writes: Sender<Write>) {
@@ -174,7 +176,7 @@
         (kept.at, kept.heard) = (shared.clock.now(), kept.heard.max(shared.gauges.heard.get()));
         if let Ok(bytes) = encode(&kept) {
             // What waits there is older.
-            let _ = writes.force_send((bytes, done));
+            let _ = writes.force_send(Write { bytes, done, log: shared.log.clone() });
         }
         if kept.clean {
             return;
@@ -182,9 +184,9 @@
     }
 }
 
-fn write_on(folder: &Path, waiting: &Receiver<Write>, log: &Logger) {
+fn write_on(folder: &Path, waiting: &Receiver<Write>) {
     let mut fails = false;
-    while let Ok((bytes, done)) = waiting.recv_blocking() {
+    while let Ok(Write { bytes, done, log }) = waiting.recv_blocking() {
         match write(folder, &bytes) {
             Err(why) if !std::mem::replace(&mut fails, true) => {
                 warn!(log, "nothing is kept for the next process"; "why" => why);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,6 +14,7 @@
 use futures_lite::future::{or, yield_now};
 use futures_lite::StreamExt;
 use ironstair::logic::Gateway;
+use ironstair::Ms;
 use ironstair_change::renewal::Renewal;
 use ironstair_mail::clock::{span, Clock};
 use ironstair_mail::pool::Pool;
@@ -142,9 +143,9 @@
 
 pub fn serve(path: &Path, operator: Option<Operator>, form: log::Form) -> Result<(), String> {
     let mut told = told::read(path)?;
+    let refused = make_room(told.descriptors);
     let recovery = operator.as_ref().and_then(|o| o.recovery.as_ref());
     let begun = recovery.map(|r| memory::begin(&r.state, &mut told));
-    let refused = make_room(told.descriptors);
     let file = told.file();
     let management = operator.as_ref().and_then(|o| o.management.as_ref());
     let cells = operator.as_ref().and_then(|o| o.cells.as_ref());
@@ -199,7 +200,7 @@
             shared.gauges.keys_rest.set(shared.clock.now() + key_rest);
         }
     }
-    let memory = recovery.zip(begun).map(|(r, begun)| Memory::start(&r.state, begun, shared.clone()));
+    let memory = begun.map(|begun| Memory::start(begun, shared.clone()));
     let fault = |what: &str, e: std::io::Error| format!("{what}: {e}");
     block_on(executor.run(async {
         // Before it listens: who finds it listening may send it a signal, which would end it without a word.
@@ -259,19 +260,22 @@
                 }
             }
         };
+        let ends = Cell::new(Ms::INFINITY);
         let told_to_end = async {
             places.until_begun().await;
+            ends.set(shared.clock.now() + left(&shared) + LAST_WORDS / 2.0);
             Timer::after(span(CLIENTS_COME_FOR)).await;
         };
         or(accept, told_to_end).await;
         drop(listener);
         places.close();
         // What the module gave up is answered by then; who still reads nothing or says half must not hold this up.
-        let most = Timer::after(span(left(&shared) + LAST_WORDS / 2.0 - CLIENTS_COME_FOR));
+        let most = Timer::after(span(ends.get() - shared.clock.now()));
         or(places.until_empty(), async { _ = most.await }).await;
         info!(log, "all is answered");
         if let Some(memory) = memory {
-            memory.end().await;
+            // A slow disk has what is left of the time, and a little where nothing is.
+            memory.end((ends.get() - shared.clock.now()).max(LAST_WORDS)).await;
         }
         if let Some(leave) = leave {
             // Who says so needs no lease to run out before its fleet goes on without it.
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -444,6 +444,31 @@
     rig.over();
 }
 
+#[test]
+fn control_without_an_end_of_tenure_it_decides_on_without_most_keepers() {
+    let mut rig = loaded("control-majority", without("tenure"));
+    rig.kill(0);
+    rig.kill(1);
+    until("it has no lease", || rig.log(3).contains("the fleet was not heard for a lease"));
+    rig.until_answers_of(3, What::Settled, 100);
+}
+
+#[test]
+fn control_a_steady_one_that_does_not_say_so_decides_by_what_was_left() {
+    let mut rig = loaded("control-steady", Plan { steady: vec![4], ..without("says-steady") });
+    rig.cut_off(4, true, true);
+    well(rig.bar(0, "lookup"));
+    rig.until_answers_of(4, What::Settled, 200);
+    assert!(left(&rig.end_of_load(), 4));
+}
+
+#[test]
+fn control_without_its_time_a_trial_stays_unconfirmed_for_good() {
+    let rig = Rig::started("control-trial", &without("trial"));
+    well(rig.set(0, &[FORWARDS, "2", "--confirm-within", "1s"]));
+    assert_eq!(last(&rig, 0)["outcome"], json!("running"), "nobody confirmed it, and nothing waits");
+}
+
 #[test]
 fn a_chair_that_is_killed_costs_no_submission() {
     let mut rig = loaded("minority", Plan { lease_ms: 5000, ..Plan::default() });
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -70,6 +70,27 @@
     rig.over();
 }
 
+#[test]
+fn case_2_two_operators_who_begin_anew_at_once_leave_one_history() {
+    let rig = disks_lost("two-anew", &[0, 1]);
+    // Against two histories of one generation, of which neither goes before the other: two fleets for good.
+    std::thread::scope(|scope| {
+        let asked = [0, 2].map(|g| {
+            scope.spawn({
+                let rig = &rig;
+                move || rig.cli(g, &["fleet", "begin-anew"])
+            })
+        });
+        asked.into_iter().for_each(|a| drop(a.join().unwrap()));
+    });
+    until("one history is left, and every keeper votes in it", || {
+        let shown: Vec<Value> = (0..KEEPERS).map(|k| rig.shown(k)).collect();
+        shown.iter().all(|s| s["keepers"].as_array().is_some_and(|k| k.len() == KEEPERS))
+            && shown.iter().all(|s| s["history"] == shown[0]["history"])
+    });
+    (0..rig.size()).for_each(|g| rig.until_fit(g));
+}
+
 #[test]
 fn case_2_all_disks_lost_and_a_disk_of_another_gateway() {
     let mut rig = disks_lost("nothing-left", &[0, 1, 2]);
--- a/crates/muster/src/actor.rs
+++ b/crates/muster/src/actor.rs
@@ -136,8 +136,6 @@
 pub struct Opened {
     charter: Charter,
     bound: TcpListener,
-    /// Held as long as this process lives, whatever becomes of who serves it.
-    held: TcpListener,
     archive: Option<Archive>,
     note: Option<String>,
 }
@@ -152,13 +150,15 @@
     /// The address is not free, or the disk can't be used; one sentence.
     pub fn open(charter: Charter) -> Result<Opened, String> {
         let bound = serve::bind(charter.listen)?;
-        let held = bound.try_clone().map_err(|e| format!("fleet.listen: {e}"))?;
+        // Held to the process's end, also where this thread ends before: the gateway's decides by its lease still, and
+        // a later process that could listen here would count this one as gone.
+        std::mem::forget(bound.try_clone().map_err(|e| format!("fleet.listen: {e}"))?);
         let archive = charter.folder.as_ref();
         let number = if taken_out("number") { named(&charter.name) } else { drawn() };
         let open = |folder| Archive::open(folder, &charter.fleet, &charter.name, number);
         let archive = archive.map(|f| open(f).map_err(|e| format!("fleet.state: {e}"))).transpose()?;
         let (archive, note) = archive.map_or((None, None), |a| (Some(a.archive), a.note));
-        Ok(Opened { charter, bound, held, archive, note })
+        Ok(Opened { charter, bound, archive, note })
     }
 }
 
@@ -191,8 +191,8 @@
     votes: bool,
     /// The revisions as last told to the log.
     lines: VecDeque<Line>,
-    /// No later process of this name listens where this one does before it has ended.
-    _held: TcpListener,
+    /// The latest history that anybody told of: a member may know more than what is left of the keepers.
+    latest: u64,
 }
 
 /// The ends of an actor that others hold.
@@ -214,7 +214,7 @@
         clock: Clock,
         log: Logger,
     ) -> Result<(Actor, Leave), String> {
-        let Opened { charter, bound, held, archive, note } = opened;
+        let Opened { charter, bound, archive, note } = opened;
         let own = Own { fleet: charter.fleet.clone(), name: charter.name.clone(), start: drawn() };
         let (post, inbox) = mpsc::channel(MAILBOX);
         if let Some(note) = note {
@@ -257,7 +257,7 @@
             held: false,
             votes: false,
             lines: VecDeque::new(),
-            _held: held,
+            latest: 0,
         };
         if let Some(archive) = archive {
             actor.keep(archive)?;
@@ -306,7 +306,10 @@
         let now = self.clock.now();
         match mail {
             Mail::Beat(beat, to) => match &mut self.kept {
-                Some(_) => self.beat(beat, Waits::Other(to)),
+                Some(_) => {
+                    self.hear_of(beat.history);
+                    self.beat(beat, Waits::Other(to));
+                }
                 None => drop(to.send(Err(Hint::default()))),
             },
             Mail::Agree(from, bytes) => {
@@ -356,6 +359,7 @@
             Mail::Known(how, document, answer) => self.begin(how, document, answer),
             Mail::KnownAnew(how, anew) => self.begin_anew(how, anew),
             Mail::Heard(history) => {
+                self.hear_of(history);
                 let own = self.kept.as_ref().map_or(0, |k| k.keeper.state().fleet.history);
                 if own != 0 && supersedes(history, own) && !taken_out("compare") {
                     self.leave_the_older("the fleet's history began anew without this keeper");
@@ -368,6 +372,12 @@
         }
     }
 
+    fn hear_of(&mut self, history: u64) {
+        if self.latest == 0 || supersedes(history, self.latest) {
+            self.latest = history;
+        }
+    }
+
     /// What is due, and what others are to see.
     fn go_on(&mut self) {
         let now = self.clock.now();
@@ -400,7 +410,7 @@
             steady: self.charter.steady,
             keeper: self.kept.is_some(),
             chair: self.chair().unwrap_or_default(),
-            share: self.member.share(),
+            share: self.charter.counts.then(|| self.member.share()),
             members: self.kept.as_ref().map_or(Vec::new(), |k| shown::members(&k.keeper)),
         };
         self.shown.send_if_modified(|was| {
@@ -491,7 +501,8 @@
     }
 
     /// The gateway's own beat goes to the chair: here, or by the way to it.
-    fn send(&mut self, beat: Beat) {
+    fn send(&mut self, mut beat: Beat) {
+        beat.steady &= !taken_out("says-steady");
         let here = self.kept.as_ref().is_some_and(|k| k.keeper.leader() == Some(&self.charter.name));
         if here {
             return self.beat(beat, Waits::Own);
@@ -624,6 +635,7 @@
         };
         match wanted {
             Wanted::Change { who, what, document, upon, commit, answer } => {
+                let commit = commit.filter(|_| !taken_out("trial"));
                 let when = now;
                 let wish = Wish { token: drawn(), who, when, what, upon, document, commit };
                 self.ask(Ask::Change(wish), answer);
@@ -696,17 +708,17 @@
         }
         let (lease, ways, own, post) =
             (self.charter.lease, self.ways.clone(), self.own.clone(), self.post.clone());
-        let searches = [self.search(), self.search()];
+        // Twice, and between them the longest lease that a chair which ended just now can have left.
+        let searches = [(self.search(), grace(lease)), (self.search(), 0.0)];
         tokio::spawn(async move {
             let mut how = Ok(Vec::new());
-            for search in searches {
+            for (search, then) in searches {
                 if let Told::Shown(shown) = search.ask(post.clone(), Asked::Show, lease).await {
                     let chair = shown["chair"].as_str().unwrap_or("one").to_string();
                     how = Err(format!("{chair} is the chair: the fleet's history is not lost"));
                     break;
                 }
-                // Leases of a chair that ended just now; then once more.
-                sleep(span(grace(lease))).await;
+                sleep(span(then)).await;
             }
             if let Ok(known) = &mut how {
                 for way in ways.values() {
@@ -724,32 +736,34 @@
             if k.keeper.chair().is_some() {
                 return Err("this keeper is the chair: the fleet's history is not lost".into());
             }
-            let mut archive = k.archive.take().ok_or("the disk is being written")?;
             let left = &k.keeper.state().fleet;
             let remembered = self.member.held().0;
             let silent = self.ways.len() - known.len().min(self.ways.len());
-            known.extend([left.history, remembered]);
+            known.extend([left.history, remembered, self.latest]);
             let history = anew(known.iter().copied(), drawn())?;
             let (document, with) = match &left.running {
                 Some((number, running)) => (running.clone(), format!("revision {number}")),
                 None => (document, "what this gateway was told at start".to_string()),
             };
-            let lost = left.history.max(remembered);
+            let lost = known.iter().copied().max().unwrap_or(0);
             let what = format!(
                 "begun anew after history {lost:016x} with {with}: what was decided after that is lost; {silent} keepers did not answer"
             );
             let (who, when, standing) = (who, self.clock.now(), Standing::Running);
             let (number, token, commit, refused) = (0, 0, None, None);
-            warn!(self.log, "the fleet's history begins anew"; "who" => &who, "what" => &what,
-                "history" => format!("{history:016x}"));
+            let said = (who.clone(), what.clone());
             let line = Line { number, token, who, when, what, standing, commit, refused };
             let id = drawn();
             let image = Keeper::begin(&self.charter.name, id, history, document, Some(line))?;
+            let mut archive = k.archive.take().ok_or("the disk is being written")?;
             let begun = archive.put_aside(id).and_then(|_| archive.begin(image));
             self.kept = None;
-            self.keep(archive).and(begun)
+            self.keep(archive).and(begun)?;
+            warn!(self.log, "the fleet's history begins anew"; "who" => said.0, "what" => said.1,
+                "history" => format!("{history:016x}"));
+            Ok(0)
         });
-        let _ = answer.send(made.map(|()| 0).map_err(Refused::Fleet));
+        let _ = answer.send(made.map_err(Refused::Fleet));
     }
 
     /// Finds the chair for what an operator asks, and hands on the outcome.
--- a/crates/tree/src/state.rs
+++ b/crates/tree/src/state.rs
@@ -80,8 +80,8 @@
     pub keeper: bool,
     /// Empty where none is known.
     pub chair: String,
-    /// Of what all gateways share out.
-    pub share: Share,
+    /// Of what all gateways share out, where the fleet counts its members.
+    pub share: Option<Share>,
     /// At the chair: who is in.
     pub members: Vec<Member>,
 }
@@ -120,8 +120,10 @@
     n.text("cut-off", cut_off(is.steady));
     n.set("keeper", Value::Bool(is.keeper));
     n.text("chair", &is.chair);
-    n.set("shares-among", Value::Uint(is.share.among.round() as u64));
-    n.set("takes-share", Value::Bool(is.share.taken));
+    if let Some(share) = is.share {
+        n.set("shares-among", Value::Uint(share.among.round() as u64));
+        n.set("takes-share", Value::Bool(share.taken));
+    }
     new
 }
 
--- a/crates/trial/src/day.rs
+++ b/crates/trial/src/day.rs
@@ -29,6 +29,9 @@
     /// Whether a process that comes back proves that the last one of its name has ended, as the built one does.
     #[serde(default = "yes")]
     pub proves_ends: bool,
+    /// Whether who comes beyond the count waits for its share, as the built one does.
+    #[serde(default = "yes")]
+    pub shares_wait: bool,
     /// Of the clients, those that come back at once whatever they are advised.
     #[serde(default)]
     #[schemars(range(min = 0.0, max = 1.0))]
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -9,7 +9,7 @@
 use ironstair::sums::{mix, Pcg};
 use ironstair::{Cost, Listed, Mandate, Ms, Outcome, Outlet, Standing, Submission as Asks};
 use ironstair_accord::member::{Action, Input};
-use ironstair_accord::{Answer, Beat, Member};
+use ironstair_accord::{Answer, Beat, Member, Share};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -132,7 +132,7 @@
     wakes: u64,
     member: Option<Member>,
     mandate: Mandate,
-    share: Option<ironstair_accord::Share>,
+    share: Option<Share>,
     beats: u64,
 }
 
@@ -456,7 +456,7 @@
 
     fn at_engine(&mut self, asker: Asker, engine: usize, process: u32) {
         let held = self.gates[asker.gate].slots.get(asker.slot).and_then(Option::as_ref);
-        // From a gateway that ended since, it still comes.
+        // One from a process that ended, and began anew since, is left out.
         let Some(sub) = held.filter(|h| h.nth == asker.nth).map(|h| h.sub) else { return };
         if !self.engines[engine].up || self.engines[engine].process != process {
             return self.after(WAY, Event::Ended(asker, End::Refused));
@@ -645,7 +645,8 @@
         self.after((due - now).max(0.0), Event::BeatDue(g, process, beat));
     }
 
-    fn holds(&mut self, g: usize, until: Ms, share: ironstair_accord::Share) {
+    fn holds(&mut self, g: usize, until: Ms, share: Share) {
+        let share = Share { taken: share.taken || !self.day.shares_wait, ..share };
         let gate = &mut self.gates[g];
         let news = self.day.fleet == day::Fleet::Members && gate.share.is_none_or(|was| share.differs(was));
         let mandate = news.then(|| share.of(&gate.mandate));
--- a/crates/trial/tests/days.rs
+++ b/crates/trial/tests/days.rs
@@ -50,6 +50,16 @@
     assert!(quiet.kept() > 0.9, "{}", quiet.kept());
 }
 
+#[test]
+fn control_a_share_that_is_not_waited_for_is_seen_to_break_the_whole() {
+    let long = r#""faults": [{"at_s": 4, "what": {"kill_gateways": {"share": 0.7, "back_s": 15, "but_keepers": true}}}]"#;
+    for (waits, broken) in [(true, false), (false, true)] {
+        let figures = play(&day(&format!(r#""fleet": "members", "shares_wait": {waits}, {long}"#)), 1);
+        assert_eq!(figures.broken > 0, broken, "{:?}", figures.breaches);
+        assert!(!broken || figures.breaches[0].starts_with("shares come to"), "{:?}", figures.breaches);
+    }
+}
+
 #[test]
 fn what_is_wrong_with_a_day_is_told_by_its_field() {
     for (text, why) in [
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -409,6 +409,7 @@
         self.due(now, out);
     }
 
+    /// Until that time, in ms, nothing of a key goes out.
     pub fn rest_keys(&mut self, until: Ms) {
         self.keys_from = until;
     }
