Two beginnings anew at once, each unheard by the other: the test fails without the tie-break

Seen: with the tie-break taken out the test still passed, since the second operator's keeper heard of the first's history, or did not listen yet. The two are cut off from each other now; without the tie-break two histories stay.

--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -37,6 +37,7 @@
     (0..rig.size()).for_each(|g| rig.kill(g));
     lost.iter().for_each(|k| rig.wipe(*k));
     (0..rig.size()).for_each(|g| rig.start(g));
+    (0..rig.size()).for_each(|g| until("it listens", || rig.listens(g)));
     rig
 }
 
@@ -73,7 +74,9 @@
 #[test]
 fn case_2_two_operators_who_begin_anew_at_once_leave_one_history() {
     let rig = disks_lost("two-anew", &[0, 1]);
-    // Against two histories of one generation, of which neither goes before the other: two fleets for good.
+    // Against two histories of one generation, of which neither goes before the other: two fleets for good. Neither
+    // operator's keeper hears of the other's.
+    rig.cut_off(0, true, true);
     std::thread::scope(|scope| {
         let asked = [0, 2].map(|g| {
             scope.spawn({
@@ -81,8 +84,9 @@
                 move || rig.cli(g, &["fleet", "begin-anew"])
             })
         });
-        asked.into_iter().for_each(|a| drop(a.join().unwrap()));
+        asked.into_iter().for_each(|a| well(&a.join().unwrap()));
     });
+    rig.heal();
     until("one history is left, and every keeper votes in it", || {
         let shown: Vec<Value> = (0..KEEPERS).map(|k| rig.shown(k)).collect();
         shown.iter().all(|s| s["keepers"].as_array().is_some_and(|k| k.len() == KEEPERS))
