--- a/crates/accord/tests/keepers.rs
+++ b/crates/accord/tests/keepers.rs
@@ -64,6 +64,8 @@
     disks: u8,
     pauses: u8,
     asks: u8,
+    kills: u8,
+    twice: u8,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -80,6 +82,10 @@
     LetIn(usize, usize),
     /// A gateway's beat comes to a chair, which another keeper confirms; the answer is under way.
     Talk(usize, usize, usize),
+    /// The same beat once more, maybe at another chair.
+    TalkAgain(usize, usize, usize),
+    /// A gateway is killed and started anew where it was.
+    Restart(usize),
     Hear(usize),
     Pause(usize),
     Ask(usize),
@@ -254,6 +260,8 @@
                     moves.push(Move::LetIn(k, j));
                     let due = |g: &usize| !w.gates[*g].paused && w.gates[*g].has_a_beat(w.now);
                     moves.extend((0..GATES).filter(due).map(|g| Move::Talk(g, k, j)));
+                    let again = (0..GATES).filter(|g| w.left.twice > 0 && w.gates[*g].beat.is_some());
+                    moves.extend(again.map(|g| Move::TalkAgain(g, k, j)));
                 }
             }
             if w.keepers[k].sits.is_some() {
@@ -265,6 +273,7 @@
         for (g, gate) in w.gates.iter().enumerate() {
             moves.extend((gate.answer.is_some() && !gate.paused).then_some(Move::Hear(g)));
             moves.extend((gate.paused || w.left.pauses > 0).then_some(Move::Pause(g)));
+            moves.extend((w.left.kills > 0).then_some(Move::Restart(g)));
         }
     }
 
@@ -342,7 +351,11 @@
                 }
                 w.push(k, Entry::Votes(j, number));
             }
-            Move::Talk(g, k, j) => {
+            Move::Restart(g) => {
+                w.left.kills -= 1;
+                w.gates[g] = Gate::new(g, (GATES + 1 + g) as u64);
+            }
+            Move::Talk(g, k, j) | Move::TalkAgain(g, k, j) => {
                 let asked = self.out != Out::Confirm;
                 let (term, confirms) = (w.keepers[k].sits.as_ref()?.term, &w.keepers[j]);
                 if asked && (!w.are_a_quorum(k, j) || confirms.term > term) {
@@ -353,7 +366,13 @@
                     (w.keepers[j].term, w.keepers[j].sits) = (term, None);
                 }
                 let now = w.now;
-                let beat = w.gates[g].sends(now, g)?;
+                let beat = match step {
+                    Move::TalkAgain(..) => {
+                        w.left.twice -= 1;
+                        w.gates[g].beat.clone()?
+                    }
+                    _ => w.gates[g].sends(now, g)?,
+                };
                 let seat = w.keepers[k].sits.as_mut()?;
                 w.gates[g].answer = Some(seat.chair.beat(now, &seat.fleet, &beat));
             }
@@ -403,18 +422,21 @@
     }
 }
 
-const QUIET: Budget = Budget { ticks: 0, elections: 0, disks: 0, pauses: 0, asks: 1 };
+const QUIET: Budget = Budget { ticks: 0, elections: 0, disks: 0, pauses: 0, asks: 1, kills: 0, twice: 0 };
 
 fn played_to_the_end(budget: Budget, made: usize, tick: f64) -> impl Checker<Days> {
     Days { budget, out: Out::Nothing, made, then: Vec::new(), tick }.checker().threads(4).spawn_bfs().join()
 }
 
 /// What is played to its end, after how many steps of a change; the larger by `ORDERS=all`.
-const CASES: [(&str, bool, Budget, &[usize], f64); 6] = [
+const CASES: [(&str, bool, Budget, &[usize], f64); 9] = [
     ("a change", false, Budget { ticks: 2, ..QUIET }, &[0, 1, 2, 3], 1.0),
     ("a chair lost", false, Budget { elections: 1, ..QUIET }, &[1, 2, 3], 1.0),
     ("a disk lost", false, Budget { disks: 1, ..QUIET }, &[1, 2, 3], 1.0),
     ("a chair and a disk lost", false, Budget { elections: 1, disks: 1, ..QUIET }, &[2, 3], 1.0),
+    ("a gateway killed and started anew", false, Budget { ticks: 1, kills: 1, ..QUIET }, &[2, 3], 1.0),
+    ("a beat twice, a chair lost", false, Budget { ticks: 1, twice: 1, elections: 1, ..QUIET }, &[2], 1.0),
+    ("two operators", false, Budget { ticks: 1, asks: 2, ..QUIET }, &[0, 2], 1.0),
     (
         "a gateway stopped while its lease runs out",
         false,
