--- a/crates/fleet/src/stand.rs
+++ b/crates/fleet/src/stand.rs
@@ -15,8 +15,43 @@
 /// An engine that answers each line as `act` says: bytes to send, and whether to end the connection then.
 pub fn engine(act: impl Fn(&str, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> (SocketAddr, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (at, seen, act) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(act));
-    let lines = seen.clone();
+    let (at, seen) = (listener.local_addr().unwrap(), Seen::default());
+    answer_all(listener, seen.clone(), act);
+    (at, seen)
+}
+
+/// Keeps connections from coming up until it is opened.
+pub struct Gate {
+    listener: TcpListener,
+    _fills: Vec<TcpStream>,
+}
+
+impl Gate {
+    /// An address where connections come up late: the queue of those not accepted is full.
+    pub fn shut() -> (SocketAddr, Gate) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        rustix::net::listen(&listener, 0).unwrap();
+        let connect = || TcpStream::connect_timeout(&at, Duration::from_millis(100)).ok();
+        let _fills = std::iter::from_fn(connect).collect();
+        (at, Gate { listener, _fills })
+    }
+
+    /// From now on an engine. What is on its way comes up with the next try of the system's, within 3 s.
+    pub fn open(self, act: impl Fn(&str, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> Seen {
+        let seen = Seen::default();
+        rustix::net::listen(&self.listener, 128).unwrap();
+        answer_all(self.listener, seen.clone(), act);
+        seen
+    }
+}
+
+fn answer_all(
+    listener: TcpListener,
+    lines: Seen,
+    act: impl Fn(&str, &str) -> (Vec<u8>, bool) + Send + Sync + 'static,
+) {
+    let act = Arc::new(act);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (act, lines) = (act.clone(), lines.clone());
@@ -45,7 +80,6 @@
             });
         }
     });
-    (at, seen)
 }
 
 pub fn id(line: &str) -> &str {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -12,6 +12,7 @@
 use ironstair_mail::wait::{time, until, within};
 use ironstair_mail::{number, Event, Id, Reply, Shared, Taken};
 use ironstair_protocol::{rpc, statement};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::pending;
@@ -29,9 +30,15 @@
 const WORD_WITHIN: Ms = 2000.0;
 /// Clients close what is idle after 4 s: what is kept for longer is not used again.
 const IDLE: Ms = 10_000.0;
+/// A client that has closed its way may have closed its connection. What it asked for begins within this, or never.
+const CLOSED_BEGINS: Ms = 50.0;
+/// While its buffers are all lent a gateway does not read: how often it looks whether the client is still there.
+const LOOK_EVERY: Ms = 20.0;
 /// How long what a client still sends is thrown away, so that the last word reaches it, and how much of it.
 const LAST_WORD: Ms = 300.0;
 const THROWN_AWAY: usize = 16;
+/// Longer than any word by which repeats are known.
+const ONCE_MOST: usize = 64;
 /// Beyond this no figure is meant: memory in MB, tries.
 const MEMORY_MOST: f64 = 1e8;
 const TRIES_MOST: f64 = 1e4;
@@ -40,7 +47,8 @@
     shared: Rc<Shared>,
     place: Place,
     own: Sender<Reply>,
-    open: RefCell<BTreeMap<u64, Id>>,
+    /// With what tells the owners of its attempts, ahead of any mailbox, that it waits no more.
+    open: RefCell<BTreeMap<u64, (Id, Rc<Cell<bool>>)>>,
     writing: Cell<bool>,
     faults: Cell<u32>,
 }
@@ -55,39 +63,85 @@
         if how.is_err_and(|kind| kind != io::ErrorKind::ConnectionAborted) {
             // Where the next message begins, or which call an answer is for, is not known any more.
             client.give_up().await;
-            let _ = within(LAST_WORD, client.last_word(&stream)).await;
+            let quiet = async { Ok(client.quiet().await) };
+            let _ = within(LAST_WORD, quiet).await;
         }
         Ok(())
     };
     let _ = or(read, client.write(&stream, replies)).await;
-    drop(stream);
     client.give_up().await;
+    close(stream, client.place, &client.shared).await;
+}
+
+/// The one way in which a client's connection ends. Closed with something unread it would be reset, and what was said
+/// last be lost with it: so this side's way is closed first, and what still comes is thrown away, for a time and up to
+/// an amount. Nothing of it is taken: the client sees the end, and a request that crosses it is sent once more.
+async fn close(stream: Async<TcpStream>, place: Place, shared: &Shared) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    // The place is the next one's; without room to linger the end is at once.
+    let Some(_lingers) = place.linger() else { return };
+    let thrown_away = async {
+        for _ in 0..THROWN_AWAY {
+            stream.readable().await?;
+            let Some(mut buffer) = shared.pool.lend() else { break };
+            if (&mut &stream).read(buffer.space()).await? == 0 {
+                break;
+            }
+        }
+        Ok(())
+    };
+    let _ = within(LAST_WORD, thrown_away).await;
 }
 
 fn id(text: &[u8]) -> Option<Id> {
     Id::try_from(text).ok().filter(|id| id.iter().all(u8::is_ascii_hexdigit))
 }
 
+/// A word that fits among the fields of an engine's line.
+fn once(text: &[u8]) -> Option<Rc<str>> {
+    let fits = |c: &u8| c.is_ascii_alphanumeric() || b"-_.:".contains(c);
+    let text = std::str::from_utf8(text).ok().filter(|t| t.bytes().all(|c| fits(&c)))?;
+    (1..=ONCE_MOST).contains(&text.len()).then(|| text.into())
+}
+
 impl Client {
     /// Nobody is left to answer.
     async fn give_up(&self) {
-        for id in self.open.take().into_values() {
+        let open = self.open.take();
+        open.values().for_each(|(_, waits)| waits.set(false));
+        for (id, _) in open.into_values() {
             let _ = self.shared.module.send(Event::Left(id, self.own.clone())).await;
         }
     }
 
-    async fn last_word(&self, stream: &Async<TcpStream>) -> io::Result<()> {
-        self.quiet().await;
-        stream.get_ref().shutdown(Shutdown::Write)?;
-        // A connection closed with something unread is reset, and what was said last may be lost with it.
-        for _ in 0..THROWN_AWAY {
-            stream.readable().await?;
-            let Some(mut buffer) = self.shared.pool.lend() else { break };
-            if (&mut &*stream).read(buffer.space()).await? == 0 {
-                break;
+    /// The client's way has ended: whether it has closed its connection can't be told before something is written.
+    /// What is out may still be answered; nothing more begins.
+    async fn closed(&self) {
+        let soon = time(&self.shared.clock, Some(self.shared.clock.now() + CLOSED_BEGINS));
+        or(self.quiet(), soon).await;
+        let open: Vec<(Id, Rc<Cell<bool>>)> = self.open.borrow().values().cloned().collect();
+        open.iter().for_each(|(_, waits)| waits.set(false));
+        for (id, _) in open {
+            let _ = self.shared.module.send(Event::Closed(id, self.own.clone())).await;
+        }
+    }
+
+    /// Until the client is seen to have gone, while nothing is read: its end, behind what is unread too.
+    async fn left_unread(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+        loop {
+            time(&self.shared.clock, Some(self.shared.clock.now() + LOOK_EVERY)).await;
+            let mut of = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+            let ended = poll(&mut of, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|n| n > 0);
+            if ended && of[0].revents().intersects(PollFlags::ERR | PollFlags::HUP) {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            if ended {
+                self.closed().await;
+                return pending().await;
             }
         }
-        Ok(())
     }
 
     /// Until nothing is owed on this connection.
@@ -139,7 +193,10 @@
                 Some(held) => held,
                 None => {
                     or(stream.readable(), self.impatient(stream, None)).await?;
-                    (self.shared.pool.spare().await, self.shared.clock.now())
+                    let spare = async { Ok(Some(self.shared.pool.spare().await)) };
+                    let left = async { self.left_unread(stream).await.map(|()| None) };
+                    let Some(buffer) = or(spare, left).await? else { return Ok(()) };
+                    (buffer, self.shared.clock.now())
                 }
             };
             let n = {
@@ -147,7 +204,7 @@
                 or(read, async { self.impatient(stream, Some(since)).await.map(|()| 0) }).await?
             };
             if n == 0 {
-                // The client's way alone may have ended: who wants no answer any more says so by a call.
+                self.closed().await;
                 self.quiet().await;
                 return Ok(());
             }
@@ -254,15 +311,23 @@
     ) -> Result<Option<Event>, (Option<u64>, i32)> {
         if method == b"interrupt" {
             let taken_back = p.count("id");
-            let gone = taken_back.and_then(|c| self.open.borrow().get(&c).copied());
+            let gone = taken_back.and_then(|c| self.open.borrow().get(&c).cloned());
             self.over(taken_back, false);
-            return Ok(gone.map(|id| Event::Left(id, self.own.clone())));
+            return Ok(gone.map(|(id, waits)| {
+                waits.set(false);
+                Event::Left(id, self.own.clone())
+            }));
         }
         let call = call.filter(|c| *c > 0).ok_or((None, rpc::INVALID))?;
         if method == b"check" {
             self.plain(|m| rpc::fit(m, call, !self.place.of.begun() && self.shared.in_tenure()));
             return Ok(None);
         }
+        if self.place.of.closing() {
+            // Sent on now, it might not end before the process does.
+            self.no_room(Some(call));
+            return Ok(None);
+        }
         let bands = self.shared.bands();
         let named = |service: bool| {
             bands.iter().position(|b| b.name.as_bytes() == method && (b.in_service || !service))
@@ -286,6 +351,7 @@
         let work = p.figure("cost", self.shared.work_most()).map_err(|_| unusable)?;
         let memory = p.figure("ram", MEMORY_MOST).map_err(|_| unusable)?;
         let tries = p.figure("retry", TRIES_MOST).map_err(|_| unusable)?;
+        let once = p.text("once").map(|t| once(&t).ok_or(unusable)).transpose()?;
         let text = p.text("bytes").ok_or(unusable)?;
         let statement = match self.statement(&text) {
             Ok(statement) => statement.ok_or(unusable)?,
@@ -305,7 +371,8 @@
             ..Default::default()
         };
         let tenant = if self.shared.tenants { p.text("tenant").map(|t| number(&t)) } else { None };
-        self.open.borrow_mut().insert(call, id);
+        let waits = Rc::new(Cell::new(true));
+        self.open.borrow_mut().insert(call, (id, waits.clone()));
         self.place.busy();
         Ok(Some(Event::Taken(Box::new(Taken {
             id,
@@ -314,7 +381,9 @@
             tenant,
             at,
             statement,
+            once,
             client: self.own.clone(),
+            waits,
         }))))
     }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,9 +1,10 @@
 //! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of
 //! the pages that have come in.
 
-use crate::link::{carry, Parcel};
+use crate::link::carry;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
+use async_io::Async;
 use ironstair::{Cost, Ms, Outcome};
 use ironstair_mail::pool::{Buffer, Chain};
 use ironstair_mail::wait::next;
@@ -11,8 +12,9 @@
 use ironstair_protocol::lines::{self, Fields, Word};
 use slog::warn;
 use std::cell::Cell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 /// More pages than the longest result has, and its bytes.
@@ -25,8 +27,11 @@
 /// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
 const IDLE_SHARE: f64 = 0.75;
 
+/// Given up on one connection, so many at most are remembered: their answers may still come.
+const GIVEN_UP_MOST: usize = 32;
+
 struct Flight {
-    of: Forward,
+    of: Rc<Forward>,
     link: u64,
     sent: Ms,
     /// Once the engine is done: its pages as they come in, and what it needed.
@@ -34,19 +39,31 @@
     cost: Option<Cost>,
 }
 
+/// What waits to be written: an attempt, whose bytes are made when it begins, or lines.
+struct Parcel {
+    attempt: Option<Rc<Forward>>,
+    bytes: Vec<u8>,
+    written: usize,
+    /// The attempt that these lines withdraw: it is over once they are written.
+    withdraws: Option<Rc<Forward>>,
+}
+
 struct Link {
-    up: bool,
+    /// Once it is up.
+    stream: Option<Rc<Async<TcpStream>>>,
     open: usize,
     /// When it came up or last brought something.
     heard: Ms,
     idle_since: Ms,
     /// A forward was given up here with nothing heard for longer than it was expected to take.
     silent: bool,
-    waiting: Vec<Id>,
+    /// Attempts given up here: another of the same request goes elsewhere, since the answers look alike.
+    given_up: VecDeque<Id>,
+    out: VecDeque<Parcel>,
     /// An answer's part, and when its first byte came.
     held: Option<Buffer>,
     part_since: Option<Ms>,
-    parcels: Sender<Parcel>,
+    held_back: Sender<()>,
     _task: Task<()>,
 }
 
@@ -60,6 +77,8 @@
     opened: u64,
     asked: u64,
     events: Vec<Event>,
+    /// Connections on which there is something new to write.
+    said: Vec<u64>,
     /// How many connections there are, for who looks on.
     connections: Rc<Cell<u32>>,
 }
@@ -77,8 +96,8 @@
         own: Sender<Order>,
         connections: Rc<Cell<u32>>,
     ) -> Self {
-        let (flights, links, events) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        Engine { index, address, shared, own, flights, links, opened: 0, asked: 0, events, connections }
+        let (flights, links, events, said) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), Vec::new());
+        Engine { index, address, shared, own, flights, links, opened: 0, asked: 0, events, said, connections }
     }
 
     pub async fn run(mut self, orders: Receiver<Order>) {
@@ -86,7 +105,13 @@
             let order = next(&self.shared.clock, &orders, self.due()).await;
             let gone = order.is_err();
             match order {
-                Ok(Some(order)) => self.follow(order),
+                Ok(Some(order)) => {
+                    self.follow(order);
+                    // Against a peer that always has something to say: time-outs are not kept waiting by it.
+                    if self.due().is_some_and(|due| due <= self.shared.clock.now()) {
+                        self.expire();
+                    }
+                }
                 Ok(None) => self.expire(),
                 // Closed by the module's actor: this process of the engine is over, and its connections lead nowhere.
                 Err(_) => {
@@ -107,35 +132,37 @@
     }
 
     fn follow(&mut self, order: Order) {
+        self.heed(order);
+        // Behind all that has come in with it: what follows on a connection may show that nothing more is wanted there.
+        for link in std::mem::take(&mut self.said) {
+            self.write(link);
+        }
+    }
+
+    fn heed(&mut self, order: Order) {
         match order {
             Order::Forward(of) => self.forward(of),
-            Order::Withdraw(id) => {
-                self.tell(&id, |f, line| match f.pages.is_empty() {
-                    true => lines::withdraw(line, text(&id)),
-                    false => lines::no_more(line, text(&id)),
-                });
-                self.end(&id, Outcome::Withdrawn, None);
-            }
+            Order::Withdraw(of) => self.withdraw(&of),
             Order::Priority(id, n) => {
-                if let Some(f) = self.flights.get_mut(&id) {
-                    f.of.priority = Some(n);
+                if let Some(f) = self.flights.get(&id) {
+                    f.of.priority.set(Some(n));
                     self.tell(&id, |_, line| lines::priority(line, text(&id), n));
                 }
             }
+            Order::Standing => self.refuse(),
             Order::Report => {
                 self.asked += 1;
                 let mut line = Vec::new();
                 lines::report(&mut line, &format!("r{}", self.asked));
-                let link = self.link();
-                self.say(link, line, None);
+                let link = self.link(None);
+                self.say(link, line);
             }
-            Order::Up(link) => {
+            Order::Up(link, stream) => {
                 let Some(l) = self.links.get_mut(&link) else { return };
-                (l.up, l.heard) = (true, self.shared.clock.now());
-                for id in std::mem::take(&mut l.waiting) {
-                    self.send(&id);
-                }
+                (l.stream, l.heard) = (Some(stream), self.shared.clock.now());
+                self.write(link);
             }
+            Order::Writable(link) => self.write(link),
             Order::Came(link, buffer) => self.came(link, buffer),
             Order::Down(link, how) => self.drop_link(link, how),
         }
@@ -143,31 +170,34 @@
 
     /// A connection with nothing open, else a new one: what spoils one loses all that is open on it. Beyond
     /// this engine's part of the descriptors, the connection with the fewest open forwards.
-    fn link(&mut self) -> u64 {
+    fn link(&mut self, of: Option<&Id>) -> u64 {
         // Against a machine cut off, whose connections stay open and silent, maybe for good: a new one tells.
         let silent: Vec<u64> = self.flights.values().filter(|f| self.unheard(f)).map(|f| f.link).collect();
-        let room = self.links.iter().filter(|l| l.1.open < self.shared.carriage().streams);
-        let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), l.1.open, !l.1.up);
+        let streams = self.shared.carriage().streams;
+        let again = |l: &Link| of.is_some_and(|id| l.given_up.contains(id));
+        let room = self.links.iter().filter(|l| l.1.open < streams && !again(l.1));
+        let rank = |l: &(&u64, &Link)| (l.1.silent || silent.contains(l.0), l.1.open, l.1.stream.is_none());
         let most = (self.shared.links_most / self.shared.listed.get().max(1)).clamp(2, LINKS_MOST);
         let free = |l: &(&u64, &Link)| !rank(l).0 && l.1.open == 0 || self.links.len() >= most;
         if let Some(l) = room.min_by_key(rank).filter(free) {
             return *l.0;
         }
         self.opened += 1;
-        let (parcels, out) = async_channel::unbounded();
+        let (held_back, goes_on) = async_channel::bounded(1);
         let s = &self.shared;
         let within = s.carriage().connect_within;
-        let task = carry(self.opened, self.address, within, s.pool.clone(), out, self.own.clone());
+        let task = carry(self.opened, self.address, within, s.pool.clone(), goes_on, self.own.clone());
         let link = Link {
-            up: false,
+            stream: None,
             open: 0,
             heard: s.clock.now(),
             idle_since: s.clock.now(),
             silent: false,
-            waiting: Vec::new(),
+            given_up: VecDeque::new(),
+            out: VecDeque::new(),
             held: None,
             part_since: None,
-            parcels,
+            held_back,
             _task: s.executor.spawn(task),
         };
         self.links.insert(self.opened, link);
@@ -176,47 +206,123 @@
 
     /// Whether its connection has been silent for longer than the forward was expected to take.
     fn unheard(&self, f: &Flight) -> bool {
-        let heard = self.links.get(&f.link).filter(|l| l.up).map(|l| l.heard.max(f.sent));
+        let heard = self.links.get(&f.link).filter(|l| l.stream.is_some()).map(|l| l.heard.max(f.sent));
         heard.is_some_and(|h| self.shared.clock.now() - h > self.shared.bands()[f.of.band].expected)
     }
 
-    fn forward(&mut self, of: Forward) {
-        let (id, link, sent) = (of.id, self.link(), self.shared.clock.now());
-        self.flights.insert(id, Flight { of, link, sent, pages: Vec::new(), cost: None });
+    fn forward(&mut self, of: Rc<Forward>) {
+        let (id, sent) = (of.id, self.shared.clock.now());
+        if !of.may_begin(sent) {
+            self.events.push(Event::Ended { id, what: Outcome::Unsent, rows: None });
+            return;
+        }
+        let link = self.link(Some(&id));
+        self.flights.insert(id, Flight { of: of.clone(), link, sent, pages: Vec::new(), cost: None });
         if let Some(l) = self.links.get_mut(&link) {
             l.open += 1;
-            if l.up {
-                self.send(&id);
-            } else {
-                l.waiting.push(id);
-            }
+            l.out.push_back(Parcel { attempt: Some(of), bytes: Vec::new(), written: 0, withdraws: None });
         }
+        self.write(link);
     }
 
-    fn send(&mut self, id: &Id) {
-        let Some(f) = self.flights.get(id) else { return };
-        let left = (f.of.limit - self.shared.clock.now()).max(1.0);
-        let (mut line, statement) = (Vec::new(), f.of.statement.clone());
-        let bands = self.shared.bands();
-        let band = &bands[f.of.band].name;
-        lines::forward(&mut line, text(id), band, left as u64, f.of.priority, statement.size());
-        self.say(f.link, line, Some(statement));
+    /// The one place that writes to a connection, what it takes now; the rest once it takes more. Attempts that may
+    /// not begin any more are left out and reported as never run.
+    fn write(&mut self, link: u64) {
+        loop {
+            let (now, shared) = (self.shared.clock.now(), self.shared.clone());
+            let Some(l) = self.links.get_mut(&link) else { return };
+            let (Some(stream), Some(first)) = (&l.stream, l.out.front_mut()) else { return };
+            if let Some(of) = first.attempt.as_ref().filter(|of| !of.begun.get()) {
+                if !of.may_begin(now) {
+                    let id = of.id;
+                    l.out.pop_front();
+                    self.end(&id, Outcome::Unsent, None);
+                    continue;
+                }
+                // Against an engine that has just closed what idled: written there, it might have run, for all that
+                // could be told. The end is seen before its word has come through the mailbox.
+                let ended = match stream.get_ref().peek(&mut [0]) {
+                    Ok(n) => n == 0,
+                    Err(e) => e.kind() != ErrorKind::WouldBlock,
+                };
+                if ended {
+                    return self.drop_link(link, Outcome::Reset);
+                }
+                if first.bytes.is_empty() {
+                    let (left, bands) = ((of.limit - now).max(1.0), shared.bands());
+                    let (band, size) = (&bands[of.band].name, of.statement.size());
+                    let once = of.once.as_deref();
+                    let priority = of.priority.get();
+                    lines::forward(&mut first.bytes, text(&of.id), band, once, left as u64, priority, size);
+                    of.statement.0.iter().for_each(|b| first.bytes.extend(b.bytes()));
+                    first.bytes.extend(lines::END);
+                }
+            }
+            match stream.get_ref().write(&first.bytes[first.written..]) {
+                Ok(n) => {
+                    first.attempt.iter().for_each(|of| of.begun.set(true));
+                    first.written += n;
+                    if first.written < first.bytes.len() {
+                        continue;
+                    }
+                    let withdraws = l.out.pop_front().and_then(|p| p.withdraws);
+                    let own =
+                        |of: &Rc<Forward>| self.flights.get(&of.id).is_some_and(|f| Rc::ptr_eq(&f.of, of));
+                    if let Some(of) = withdraws.filter(own) {
+                        self.end(&of.id, Outcome::Withdrawn, None);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    let _ = l.held_back.try_send(());
+                    return;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.drop_link(link, Outcome::Reset),
+            }
+        }
     }
 
-    /// Says something about a forward, unless it still waits for its connection and the engine never heard of it.
-    fn tell(&self, id: &Id, write: impl FnOnce(&Flight, &mut Vec<u8>)) {
-        let Some(f) = self.flights.get(id) else { return };
-        if self.links.get(&f.link).is_some_and(|l| !l.waiting.contains(id)) {
-            let mut line = Vec::new();
-            write(f, &mut line);
-            self.say(f.link, line, None);
+    /// Overtakes the attempt where that has not begun. Where it has, it is over once the engine has been told, or its
+    /// connection is closed: until then another may not be out.
+    fn withdraw(&mut self, of: &Rc<Forward>) {
+        let id = &of.id;
+        // Another of the same request may be here by now.
+        let Some(f) = self.flights.get(id).filter(|f| Rc::ptr_eq(&f.of, of)) else { return };
+        let Some(l) = self.links.get_mut(&f.link) else { return };
+        let first = l.out.front().and_then(|p| p.attempt.as_ref());
+        if !f.of.begun.get() {
+            return self.end(id, Outcome::Unsent, None);
+        }
+        if first.is_some_and(|of| of.id == *id) && l.open == 1 {
+            // Half written and held back: closed, it never arrives whole, and never runs.
+            let link = f.link;
+            return self.drop_link(link, Outcome::Unsent);
         }
+        if l.given_up.len() == GIVEN_UP_MOST {
+            l.given_up.pop_front();
+        }
+        l.given_up.push_back(*id);
+        let (link, mut bytes) = (f.link, Vec::new());
+        match f.pages.is_empty() {
+            true => lines::withdraw(&mut bytes, text(id)),
+            false => lines::no_more(&mut bytes, text(id)),
+        }
+        l.out.push_back(Parcel { attempt: None, bytes, written: 0, withdraws: Some(of.clone()) });
+        self.write(link);
+    }
+
+    /// Says something about an attempt, unless it has not begun and the engine never heard of it.
+    fn tell(&mut self, id: &Id, write: impl FnOnce(&Flight, &mut Vec<u8>)) {
+        let Some(f) = self.flights.get(id).filter(|f| f.of.begun.get()) else { return };
+        let (link, mut line) = (f.link, Vec::new());
+        write(f, &mut line);
+        self.say(link, line);
     }
 
-    fn say(&self, link: u64, line: Vec<u8>, statement: Option<Rc<Chain>>) {
-        if let Some(l) = self.links.get(&link) {
-            // Fails only once the connection has ended, of which word is under way.
-            let _ = l.parcels.try_send(Parcel { line, statement });
+    fn say(&mut self, link: u64, bytes: Vec<u8>) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.push_back(Parcel { attempt: None, bytes, written: 0, withdraws: None });
+            self.said.push(link);
         }
     }
 
@@ -340,7 +446,8 @@
         if let Some(l) = self.links.get_mut(&f.link) {
             l.open -= 1;
             l.silent |= silent;
-            l.waiting.retain(|w| w != id);
+            // What has begun is written to its end: half a line would spoil what comes behind it.
+            l.out.retain(|p| p.written > 0 || p.attempt.as_ref().is_none_or(|of| of.id != *id));
             l.idle_since = self.shared.clock.now();
         }
         self.events.push(Event::Ended { id: *id, what, rows });
@@ -350,11 +457,14 @@
     /// with the connection. What still waited for it was never written.
     fn drop_link(&mut self, link: u64, how: Outcome) {
         let Some(l) = self.links.remove(&link) else { return };
+        // At once, and not only when its task has ended: what is given up here may go out again elsewhere.
+        l.stream.iter().for_each(|s| drop(s.get_ref().shutdown(Shutdown::Both)));
         let on = self.flights.iter().filter(|f| f.1.link == link);
         let mut on: Vec<(Ms, Id)> = on.map(|f| (f.1.sent, *f.0)).collect();
         on.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (nth, (_, id)) in on.iter().enumerate() {
-            let how = match (l.waiting.contains(id), nth, how) {
+            let unsent = self.flights.get(id).is_some_and(|f| !f.of.begun.get());
+            let how = match (unsent, nth, how) {
                 (true, 0, Outcome::NoConnection) | (false, 0, _) => how,
                 (true, ..) => Outcome::Unsent,
                 _ => Outcome::Swept,
@@ -365,7 +475,7 @@
 
     fn idle_until(&self, l: &Link) -> Option<Ms> {
         let rest = if l.silent { 0.0 } else { self.shared.carriage().idle * IDLE_SHARE };
-        (l.up && l.open == 0).then_some(l.idle_since + rest)
+        (l.stream.is_some() && l.open == 0).then_some(l.idle_since + rest)
     }
 
     /// An answer is written at once: half of one for longer than a connection takes to come up is all of it.
@@ -375,10 +485,20 @@
 
     fn due(&self) -> Option<Ms> {
         let links = self.links.values().flat_map(|l| [self.idle_until(l), self.part_until(l)]).flatten();
-        self.flights.values().map(|f| f.of.limit).chain(links).min_by(f64::total_cmp)
+        let begins = |f: &Flight| if f.of.begun.get() { f.of.limit } else { f.of.by.get().min(f.of.limit) };
+        self.flights.values().map(begins).chain(links).min_by(f64::total_cmp)
+    }
+
+    /// What may not begin any more is taken out where it waits.
+    fn refuse(&mut self) {
+        let now = self.shared.clock.now();
+        let barred = self.flights.values().filter(|f| !f.of.begun.get() && !f.of.may_begin(now));
+        let barred: Vec<Id> = barred.map(|f| f.of.id).collect();
+        barred.iter().for_each(|id| self.end(id, Outcome::Unsent, None));
     }
 
     fn expire(&mut self) {
+        self.refuse();
         let now = self.shared.clock.now();
         let late = self.flights.iter().filter(|f| f.1.of.limit <= now);
         let late: Vec<Id> = late.map(|f| *f.0).collect();
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -30,9 +30,13 @@
     tenant: u64,
     limit: Ms,
     statement: Rc<Chain>,
+    once: Option<Rc<str>>,
     priority: Option<u8>,
     client: Option<Sender<Reply>>,
+    waits: Rc<Cell<bool>>,
     engine: Option<usize>,
+    /// The attempt that is out.
+    out: Option<Rc<Forward>>,
     /// The cells of that when it was forwarded there.
     cells: u64,
     /// Engines it was forwarded to: the module remembers them as long as it is held.
@@ -45,11 +49,14 @@
     /// Its actor's mailbox, once it was asked for something: one that never is costs no more than its line.
     orders: Option<Sender<Order>>,
     connections: Rc<Cell<u32>>,
+    standing: Rc<Cell<Standing>>,
 }
 
 impl Known {
-    /// This process of the engine is over: its actor ends with what it holds.
+    /// This process of the engine is over: its actor ends with what it holds. What still lies in its mailbox must not
+    /// begin on the way there.
     fn close(&self) {
+        self.standing.set(Standing::Gone);
         if let Some(orders) = &self.orders {
             orders.close();
         }
@@ -159,14 +166,19 @@
 }
 
 impl Outlet for Hands {
-    fn forward(&mut self, submission: usize, engine: usize) {
+    fn forward(&mut self, submission: usize, engine: usize, by: Ms) {
         let id = self.subs.id(submission);
         let cells = self.cells.as_ref().map_or(0, |k| k.engine(self.names.id(engine)).0);
+        let known = self.engines.get(engine).and_then(Option::as_ref);
+        let standing = known.map_or_else(Rc::default, |e| e.standing.clone());
         let Some(h) = self.held(submission) else { return };
         (h.engine, h.cells) = (Some(engine), cells);
         h.met.push(engine);
-        let (band, statement, priority, limit) = (h.band, h.statement.clone(), h.priority, h.limit);
-        let of = Forward { id, band, statement, priority, limit };
+        let (band, statement, once, waits) = (h.band, h.statement.clone(), h.once.clone(), h.waits.clone());
+        let (priority, begun, by) = (Cell::new(h.priority), Cell::new(false), Cell::new(by));
+        let of = Forward { id, band, statement, once, priority, limit: h.limit, by, waits, standing, begun };
+        let of = Rc::new(of);
+        h.out = Some(of.clone());
         self.count(band).released += 1;
         if !self.order(engine, Order::Forward(of)) {
             // Nobody is there to tell how it ended.
@@ -176,9 +188,16 @@
         }
     }
     fn withdraw(&mut self, submission: usize, _nth: u8) {
-        let id = self.subs.id(submission);
-        if let Some(engine) = self.held(submission).and_then(|h| h.engine) {
-            self.order(engine, Order::Withdraw(id));
+        let Some(h) = self.held(submission) else { return };
+        let (Some(engine), Some(of)) = (h.engine, h.out.clone()) else { return };
+        of.withdraw();
+        if !self.order(engine, Order::Withdraw(of.clone())) {
+            // A full mailbox must not swallow it: what it withdraws would stay out until its time is up.
+            let known = self.engines.get(engine).and_then(Option::as_ref);
+            if let Some(orders) = known.and_then(|e| e.orders.clone()) {
+                let late = async move { orders.send(Order::Withdraw(of)).await.unwrap_or(()) };
+                self.shared.executor.spawn(late).detach();
+            }
         }
     }
     fn terms(&mut self, submission: usize, priority: u8, _grant_mb: f64) {
@@ -259,11 +278,18 @@
                     gateway.left(now, s, &mut hands);
                 }
             }
+            Some(Event::Closed(id, client)) => {
+                let Some(s) = hands.subs.find(id) else { continue };
+                let own = |h: &Held| h.client.as_ref().is_some_and(|c| c.same_channel(&client));
+                if hands.held[s].as_ref().is_some_and(own) {
+                    gateway.closed(now, s, &mut hands);
+                }
+            }
             Some(Event::Ended { id, what, rows }) => {
                 let Some(s) = hands.subs.find(id) else { continue };
                 hands.left_its_cell(s);
                 let open = hands.held[s].as_mut().is_some_and(|h| {
-                    h.engine = None;
+                    (h.engine, h.out) = (None, None);
                     h.client.is_some()
                 });
                 if open && rows.is_some() {
@@ -458,9 +484,12 @@
         tenant,
         limit,
         statement: Rc::new(t.statement),
+        once: t.once,
         priority: None,
         client: Some(t.client),
+        waits: t.waits,
         engine: None,
+        out: None,
         cells: 0,
         met: Vec::new(),
     });
@@ -498,10 +527,15 @@
         }
         if let Some(e) = known {
             e.place = place;
+            if e.standing.replace(standing) != standing && standing != Standing::Ready {
+                // Where the mailbox is full, what lies in it is looked at before its write all the same.
+                e.orders.iter().for_each(|orders| drop(orders.try_send(Order::Standing)));
+            }
             continue;
         }
         info!(hands.shared.log, "engine {:012x} is {}", id, name; "zone" => zone, "kind" => kind);
-        *known = Some(Known { name, place, orders: None, connections: Rc::default() });
+        let standing = Rc::new(Cell::new(standing));
+        *known = Some(Known { name, place, orders: None, connections: Rc::default(), standing });
     }
     if let Some(keeper) = &mut hands.cells {
         keeper.roster(listed.iter().filter(|l| l.standing == Standing::Ready).map(|l| l.id));
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -10,6 +10,8 @@
 
 /// How long a connection counts as new.
 const NEW: Ms = 250.0;
+/// One in so many places may linger beside them.
+const LINGER_SHARE: usize = 16;
 
 pub struct Places {
     most: usize,
@@ -18,10 +20,16 @@
     taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
     nth: Cell<u64>,
     bell: Bell,
+    /// Connections that are over but for what their clients still send, and the most of them.
+    lingering: Cell<usize>,
+    most_lingering: usize,
     /// How many are taken, for who looks on.
     count: Rc<Cell<u32>>,
 }
 
+/// Held while a connection lingers after its end.
+pub struct Lingers(Rc<Places>);
+
 /// What is known of a connection here.
 pub struct Seat {
     /// When it was connected.
@@ -42,6 +50,7 @@
 }
 
 impl Places {
+    /// At most `most` connections, and a sixteenth as many that linger after their end.
     pub fn new(most: usize, count: Rc<Cell<u32>>) -> Rc<Self> {
         let (begun, closing, taken) = (Cell::new(false), Cell::new(false), RefCell::default());
         Rc::new(Places {
@@ -51,6 +60,8 @@
             taken,
             nth: Cell::new(0),
             bell: Bell::new(),
+            lingering: Cell::new(0),
+            most_lingering: (most / LINGER_SHARE).max(1),
             count,
         })
     }
@@ -82,8 +93,18 @@
         }
     }
 
+    pub fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
     pub async fn until_empty(&self) {
-        until(&self.bell, || self.taken.borrow().is_empty().then_some(())).await
+        let empty = || self.taken.borrow().is_empty() && self.lingering.get() == 0;
+        until(&self.bell, || empty().then_some(())).await
+    }
+
+    /// Until a place or a descriptor may have become free.
+    pub async fn until_given_back(&self) {
+        self.bell.listen().await
     }
 
     /// A place for a new connection. Where there is none, the one that has been quiet for longest leaves, of
@@ -103,6 +124,16 @@
             (taken.len() < self.most).then_some(())
         })
         .await;
+        self.seat(clock)
+    }
+
+    /// Without waiting, a few beyond the places: for what the system has accepted before the end.
+    pub fn last(self: &Rc<Self>, clock: &Clock) -> Option<Place> {
+        let few = self.taken.borrow().len() < self.most + self.most_lingering;
+        few.then(|| self.seat(clock))
+    }
+
+    fn seat(self: &Rc<Self>, clock: &Clock) -> Place {
         let (now, nth) = (clock.now(), self.nth.replace(self.nth.get() + 1));
         let (quiet, answered, leave) = (Cell::new(now), Cell::new(false), Cell::new(self.closing.get()));
         let seat = Rc::new(Seat { since: now, quiet, answered, leave, bell: Bell::new() });
@@ -136,7 +167,23 @@
     }
 }
 
+impl Drop for Lingers {
+    fn drop(&mut self) {
+        self.0.lingering.set(self.0.lingering.get() - 1);
+        self.0.bell.notify(usize::MAX);
+    }
+}
+
 impl Place {
+    /// Gives the place back; none where too many linger already, but for the end, when nobody comes any more.
+    pub fn linger(self) -> Option<Lingers> {
+        let (of, lingering) = (self.of.clone(), self.of.lingering.get());
+        (lingering < of.most_lingering || of.closing()).then(|| {
+            of.lingering.set(lingering + 1);
+            Lingers(of)
+        })
+    }
+
     pub fn busy(&self) {
         self.seat.quiet.set(Ms::INFINITY);
         // Another is asked in its stead.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -247,16 +247,25 @@
         executor.spawn(heeded).detach();
         info!(log, "serving"; "on" => told.listen);
 
+        // Accepted, and without a place yet: not dropped with the wait for one.
+        let waits = Cell::new(None);
         let accept = async {
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => {
+                        waits.set(Some(stream));
                         let place = places.take(&shared.clock).await;
+                        let Some(stream) = waits.take() else { continue };
                         executor.spawn(client::serve(stream, shared.clone(), place)).detach();
                         // Each is heard before the next is let in, which may need its place.
                         yield_now().await;
                     }
-                    Err(_) => drop(Timer::after(span(NO_DESCRIPTOR)).await),
+                    Err(_) => {
+                        let later = async {
+                            Timer::after(span(NO_DESCRIPTOR)).await;
+                        };
+                        or(places.until_given_back(), later).await
+                    }
                 }
             }
         };
@@ -267,6 +276,12 @@
             Timer::after(span(CLIENTS_COME_FOR)).await;
         };
         or(accept, told_to_end).await;
+        // What the system has accepted is taken: none of it is left behind when the listener goes.
+        let accepted = || listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)).ok();
+        while let Some(stream) = waits.take().or_else(accepted) {
+            let Some(place) = places.last(&shared.clock) else { break };
+            executor.spawn(client::serve(stream, shared.clone(), place)).detach();
+        }
         drop(listener);
         places.close();
         // What the module gave up is answered by then; who still reads nothing or says half must not hold this up.
--- /dev/null
+++ b/crates/gateway/tests/crossings.rs
@@ -0,0 +1,307 @@
+//! Two events that cross: the built gateway over real connections, the bad order made to happen every time. The rows of
+//! docs/design/crossings.md name these tests.
+
+use ironstair_fleet::stand::*;
+use rustix::net::sockopt::set_socket_linger;
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const ROWS: &str = "x\ty\tz\n";
+
+fn good(line: &str, _: &str) -> (Vec<u8>, bool) {
+    (done(line, ROWS), false)
+}
+
+fn broke(line: &str, _: &str) -> (Vec<u8>, bool) {
+    (format!("{} BROKE - 0\r\n\r\n", id(line)).into_bytes(), false)
+}
+
+/// Classes: one of each effect, the deduplicated one within half a second.
+fn classes() -> Value {
+    let class = |name: &str, semantics: &str| json!({"name": name, "slo_ns": 4e9, "give_up_ns": 8e9, "semantics": semantics, "worth": 1.0, "window_ns": 5e8});
+    json!([class("lookup", "pure"), class("stow", "token"), class("post", "side_effect")])
+}
+
+/// A gateway that waits up to 6 s for a connection to come up.
+fn patient(test: &str, engines: &[(&str, SocketAddr)], edit: impl Fn(&mut Value)) -> Gateway {
+    let (mut told, roster) = told(2, classes(), engines);
+    told["settings"]["policy_limits"]["connect_timeout_ns"] = json!(6e9);
+    edit(&mut told);
+    started(test, told, roster, None)
+}
+
+fn ask(c: &mut Client, band: &str, call: u64) {
+    let fields = format!(r#""id":"{call:016x}","wait":7000,"bytes":"c2VsZWN0IDE=","once":"o{call}""#);
+    c.say(&format!(r#"{{"jsonrpc":"2.0","id":{call},"method":"{band}","params":{{{fields}}}}}"#));
+}
+
+/// All that a client said is with the decisions: what is answered at once comes behind it.
+fn heard(c: &mut Client) {
+    c.say(r#"{"jsonrpc":"2.0","id":9000,"method":"check"}"#);
+    while c.hear()["id"] != 9000 {}
+}
+
+fn fetches(seen: &Seen) -> usize {
+    seen.lock().unwrap().iter().filter(|l| l.starts_with("fetch")).count()
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_left_while_its_connection_to_the_engine_came_up() {
+    type Leave = fn(Client);
+    let interrupt: Leave = |mut c| {
+        (1..=8).for_each(|call| {
+            c.say(&format!(r#"{{"jsonrpc":"2.0","method":"interrupt","params":{{"id":{call}}}}}"#));
+        });
+        heard(&mut c);
+    };
+    let close: Leave = |c| c.0.get_ref().shutdown(Shutdown::Both).unwrap();
+    let reset: Leave = |c| set_socket_linger(c.0.get_ref(), Some(Duration::ZERO)).unwrap();
+    for (nth, leave) in [interrupt, close, reset].into_iter().enumerate() {
+        let (at, gate) = Gate::shut();
+        let g = patient(&format!("left-{nth}"), &[("e1", at)], |_| {});
+        let mut c = Client::of(&g);
+        (1..=8).for_each(|call| ask(&mut c, "lookup", call));
+        heard(&mut c);
+        leave(c);
+        // What a client that has closed may still begin, it may within a tenth of a second.
+        thread::sleep(Duration::from_millis(100));
+        let seen = gate.open(good);
+        let mut other = Client::of(&g);
+        ask(&mut other, "lookup", 77);
+        assert_eq!(other.rows().0, 77, "{nth}");
+        let of = |l: &String| l.starts_with("fetch 000000000000004d ");
+        assert!(seen.lock().unwrap().iter().all(of), "{nth}: {:?}", seen.lock().unwrap());
+    }
+}
+
+#[test]
+fn a_deduplicated_request_does_not_begin_again_once_its_window_is_over() {
+    // The second attempt is decided within the window, and its connection comes up behind it.
+    let (first, seen) = engine(broke);
+    let (late, gate) = Gate::shut();
+    let g = patient("window", &[("e1", first)], |_| {});
+    let mut c = Client::of(&g);
+    ask(&mut c, "stow", 1);
+    assert!(soon(|| fetches(&seen) >= 1));
+    assert!(seen.lock().unwrap()[0].contains(",i=o1,") || seen.lock().unwrap()[0].contains("i=o1 "));
+    drop(g);
+    let g = patient("window-late", &[("e1", first), ("e2", late)], |_| {});
+    let mut c = Client::of(&g);
+    (2..=9).for_each(|call| ask(&mut c, "stow", call));
+    // What ran at the first and was to go again ends once its window is over; what went to the late one first never ran.
+    let ends: Vec<i64> = (2..=9).map(|_| c.hear()["error"]["code"].as_i64().unwrap()).collect();
+    assert!(ends.contains(&SCRAPPED) && ends.iter().all(|e| [SCRAPPED, TURNED_BACK].contains(e)), "{ends:?}");
+    let seen = gate.open(good);
+    ask(&mut c, "lookup", 77);
+    assert_eq!(c.rows().0, 77);
+    assert!(seen.lock().unwrap().iter().all(|l| !l.contains("c=stow")), "{:?}", seen.lock().unwrap());
+}
+
+#[test]
+fn what_waits_for_a_connection_goes_elsewhere_when_its_engine_begins_to_drain() {
+    let (late, gate) = Gate::shut();
+    let (other, seen) = engine(good);
+    let g = patient("drains", &[("e1", late)], |_| {});
+    let mut c = Client::of(&g);
+    (1..=8).for_each(|call| ask(&mut c, "post", call));
+    heard(&mut c);
+    *g.roster.lock().unwrap() = answer(2, &[("e1", late, 1), ("e2", other, 0)]);
+    let mut calls: Vec<u64> = (0..8).map(|_| c.rows().0).collect();
+    calls.sort();
+    assert_eq!(calls, Vec::from_iter(1..=8));
+    let drained = gate.open(good);
+    assert_eq!(fetches(&seen), 8);
+    assert!(drained.lock().unwrap().is_empty(), "{:?}", drained.lock().unwrap());
+}
+
+#[test]
+fn a_withdrawal_overtakes_what_a_slow_engine_holds_back() {
+    // An engine that reads nothing: two connections are full with statements that do not fit, a third attempt lies
+    // behind one of them.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (read, reads) = mpsc::channel::<()>();
+    let (tell, told) = mpsc::channel();
+    let reader = thread::spawn(move || {
+        let held: Vec<TcpStream> = (0..2).map(|_| listener.accept().unwrap().0).collect();
+        reads.recv().unwrap();
+        for mut s in held {
+            s.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+            let mut all = Vec::new();
+            // To its end, or for as long as the gateway holds it open.
+            let _ = s.read_to_end(&mut all);
+            tell.send(String::from_utf8_lossy(&all).into_owned()).unwrap();
+        }
+    });
+    let g = patient("held-back", &[("e1", at)], |told| {
+        // Two connections at most to one engine.
+        told["limits"] = json!({"memory_mb": 192, "sockets": 64});
+        told["settings"]["policy_limits"]["max_attempts"] = json!(1);
+        told["settings"]["policy_limits"]["multiplex"] = json!(4096);
+    });
+    let mut c = Client::of(&g);
+    let long = "QUJD".repeat(40_000);
+    for call in 1..=40u64 {
+        let fields = format!(r#""id":"{call:016x}","wait":7000,"bytes":"{long}""#);
+        let whole = format!(r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{{fields}}}}}"#);
+        if call <= 30 {
+            c.say(&whole);
+        }
+    }
+    ask(&mut c, "lookup", 77);
+    heard(&mut c);
+    c.say(r#"{"jsonrpc":"2.0","method":"interrupt","params":{"id":77}}"#);
+    heard(&mut c);
+    read.send(()).unwrap();
+    let all: Vec<String> = told.iter().collect();
+    reader.join().unwrap();
+    assert_eq!(all.len(), 2);
+    assert!(all.iter().any(|t| t.contains("fetch 0000000000000001")), "the first was under way");
+    assert!(all.iter().all(|t| !t.contains("fetch 000000000000004d")), "begun after it was taken back");
+}
+
+#[test]
+fn a_client_that_closes_its_way_has_nothing_more_begun_and_is_answered_at_once() {
+    // Full everywhere: what it asked for waits between two attempts.
+    let full = |line: &str, _: &str| (format!("{} WAIT - 0\r\n\r\n", id(line)).into_bytes(), false);
+    let (at, seen) = engine(full);
+    let g = patient("half-closed", &[("e1", at)], |_| {});
+    let mut c = Client::of(&g);
+    ask(&mut c, "lookup", 1);
+    assert!(soon(|| fetches(&seen) >= 1));
+    c.0.get_ref().shutdown(Shutdown::Write).unwrap();
+    let since = Instant::now();
+    assert_eq!(c.hear()["error"]["code"], TURNED_BACK);
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    assert_eq!(c.0.read(&mut [0; 1]).unwrap(), 0);
+}
+
+#[test]
+fn what_the_system_has_accepted_is_answered_before_the_gateway_ends() {
+    // All places are taken by requests that nobody answers, one connection more has come in and waits for one.
+    let (at, seen) = engine(|_, _| (vec![], false));
+    let mut g = patient("backlog", &[("e1", at)], |told| {
+        told["limits"] = json!({"memory_mb": 192, "sockets": 32});
+    });
+    let mut busy: Vec<Client> = (1..=16).map(|_| Client::of(&g)).collect();
+    (1..).zip(&mut busy).for_each(|(call, c)| ask(c, "lookup", call));
+    assert!(soon(|| fetches(&seen) == 16));
+    let mut last: Vec<Client> = (0..2).map(|_| Client::of(&g)).collect();
+    (77..).zip(&mut last).for_each(|(call, c)| ask(c, "lookup", call));
+    g.signal("-TERM");
+    for c in last.iter_mut().take(1) {
+        assert_eq!(c.hear()["error"]["code"], TURNED_BACK, "taken by the system, and answered");
+    }
+    busy.iter_mut().for_each(|c| assert!(c.try_hear().is_some()));
+    assert!(g.process.wait().unwrap().success());
+    assert_eq!(fetches(&seen), 16, "what is read after the end is not sent on");
+}
+
+#[test]
+fn an_end_over_unread_bytes_does_not_take_the_last_answer_with_it() {
+    // Each row is an end that the gateway makes while more is coming than it reads.
+    let (at, _) = engine(good);
+    let flood = vec![b'x'; 1 << 20];
+    for (nth, bad) in ["GET / HTTP/1.1\r\n\r\n", "Content-Length: 1e9\r\n\r\n"].into_iter().enumerate() {
+        let g = patient(&format!("unread-{nth}"), &[("e1", at)], |_| {});
+        let mut c = Client::of(&g);
+        ask(&mut c, "lookup", 1);
+        assert_eq!(c.rows().0, 1);
+        c.0.get_mut().write_all(bad.as_bytes()).unwrap();
+        let mut to = c.0.get_ref().try_clone().unwrap();
+        let flood = flood.clone();
+        let writes = thread::spawn(move || drop(to.write_all(&flood[..100_000])));
+        assert_eq!(c.hear()["error"]["code"], -32700, "{nth}");
+        writes.join().unwrap();
+        let end = c.0.read(&mut [0; 1]);
+        assert!(matches!(end, Ok(0)), "{nth}: {end:?}");
+    }
+}
+
+#[test]
+fn an_idle_connection_that_an_engine_closes_is_not_written_to() {
+    // Both in one moment for a gateway that stands still: only one that sees the end before it writes still knows that
+    // a request which may run once never ran.
+    for round in 0..5 {
+        let (close, closes) = mpsc::channel::<()>();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for (nth, s) in listener.incoming().flatten().enumerate() {
+                let mut s = s;
+                let mut bytes = [0; 4096];
+                while let Ok(n) = s.read(&mut bytes) {
+                    let text = String::from_utf8_lossy(&bytes[..n]).into_owned();
+                    if n == 0 || s.write_all(&done(&text, ROWS)).is_err() {
+                        break;
+                    }
+                    if nth == 0 {
+                        closes.recv().unwrap();
+                        break;
+                    }
+                }
+            }
+        });
+        let g = patient(&format!("idle-{round}"), &[("e1", at)], |_| {});
+        let mut c = Client::of(&g);
+        ask(&mut c, "post", 1);
+        assert_eq!(c.rows().0, 1);
+        g.signal("-STOP");
+        close.send(()).unwrap();
+        ask(&mut c, "post", 2);
+        thread::sleep(Duration::from_millis(50));
+        g.signal("-CONT");
+        assert_eq!(c.rows().0, 2, "{round}");
+    }
+}
+
+#[test]
+fn clients_that_fill_all_places_and_rest_do_not_keep_a_moved_name_service_from_being_heard() {
+    let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
+    let ((old, _), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
+    let g = patient("fill", &[("e1", old)], |told| {
+        told["limits"] = json!({"memory_mb": 192, "sockets": 64});
+    });
+    drop(Client::of(&g));
+    let rest: Vec<TcpStream> = (0..300).filter_map(|_| TcpStream::connect(g.at).ok()).collect();
+    let (names, roster) = name_service();
+    *roster.lock().unwrap() = answer(2, &[("e2", new, 0)]);
+    g.moves(&std::fs::read_to_string(g.dir.join("told.json")).unwrap(), names);
+    let mut call = 1;
+    assert!(soon(|| {
+        call += 1;
+        let mut c = Client::of(&g);
+        c.ask(call);
+        c.try_hear().is_some_and(|a| a["result"]["bytes"] == "bmV3CQkK")
+    }));
+    drop(rest);
+}
+
+#[test]
+fn a_request_that_meets_the_end_on_a_resting_connection_is_answered_or_never_taken() {
+    for round in 0..3 {
+        let (at, seen) = engine(good);
+        let mut g = patient(&format!("resting-{round}"), &[("e1", at)], |_| {});
+        let mut c = Client::of(&g);
+        ask(&mut c, "lookup", 1);
+        assert_eq!(c.rows().0, 1);
+        // The end and the request in one moment, for a gateway that stands still.
+        g.signal("-TERM");
+        g.signal("-STOP");
+        thread::sleep(Duration::from_millis(750));
+        ask(&mut c, "lookup", 2);
+        g.signal("-CONT");
+        let mut byte = [0; 1];
+        match c.0.get_ref().peek(&mut byte) {
+            Ok(0) => assert_eq!(fetches(&seen), 1, "not answered, and sent on"),
+            Ok(_) => assert_eq!(c.hear()["id"], 2),
+            Err(e) => panic!("{:?}: reset", e.kind() == ErrorKind::ConnectionReset),
+        }
+        drop(c);
+        assert!(g.process.wait().unwrap().success());
+    }
+}
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -8,6 +8,7 @@
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use async_io::Async;
 use clock::Clock;
 use ironstair::{Ms, Outcome, Standing, Submission};
 use ironstair_mandate::Carriage;
@@ -15,7 +16,7 @@
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use window::{Request, Told};
 
@@ -26,6 +27,8 @@
 pub enum Event {
     Taken(Box<Taken>),
     Left(Id, Sender<Reply>),
+    /// Its client has closed, maybe its own way alone: nothing more begins for it.
+    Closed(Id, Sender<Reply>),
     Ended {
         id: Id,
         what: Outcome,
@@ -51,7 +54,10 @@
     pub tenant: Option<u64>,
     pub at: Ms,
     pub statement: Chain,
+    pub once: Option<Rc<str>>,
     pub client: Sender<Reply>,
+    /// Whether the client still waits, as its connection's actor knows it: ahead of any mailbox.
+    pub waits: Rc<Cell<bool>>,
 }
 
 /// To a front, about one of its calls: one final answer for each.
@@ -67,21 +73,48 @@
 
 /// To an engine's actor, from the module's and from the engine's own connections.
 pub enum Order {
-    Forward(Forward),
-    Withdraw(Id),
+    Forward(Rc<Forward>),
+    Withdraw(Rc<Forward>),
     Priority(Id, u8),
     Report,
-    Up(u64),
+    /// The engine's standing has changed: what has not begun may not begin any more.
+    Standing,
+    Up(u64, Rc<Async<TcpStream>>),
+    /// A connection that could take no more takes more.
+    Writable(u64),
     Came(u64, Buffer),
     Down(u64, Outcome),
 }
 
+/// An attempt on its way. It begins when its first byte is written, not when it was decided: between the two lie
+/// mailboxes, connections that come up late and writes that a slow peer holds back. So the conditions under which
+/// it may still begin travel with it, and the owner of the connection looks at them right before the write.
 pub struct Forward {
     pub id: Id,
     pub band: usize,
     pub statement: Rc<Chain>,
-    pub priority: Option<u8>,
+    /// By which engines know a deduplicated one again; as the client gave it.
+    pub once: Option<Rc<str>>,
+    pub priority: Cell<Option<u8>>,
     pub limit: Ms,
+    /// The latest time to begin, as decided; in the past once it is withdrawn.
+    pub by: Cell<Ms>,
+    pub waits: Rc<Cell<bool>>,
+    /// The engine's, by the list.
+    pub standing: Rc<Cell<Standing>>,
+    /// Set with its first byte.
+    pub begun: Cell<bool>,
+}
+
+impl Forward {
+    pub fn may_begin(&self, now: Ms) -> bool {
+        now < self.by.get() && self.waits.get() && self.standing.get() == Standing::Ready
+    }
+
+    /// Overtakes it wherever it lies; what has begun is withdrawn by an order of its own.
+    pub fn withdraw(&self) {
+        self.by.set(f64::NEG_INFINITY);
+    }
 }
 
 /// One engine of the roster.
--- a/crates/protocol/src/lines.rs
+++ b/crates/protocol/src/lines.rs
@@ -93,8 +93,19 @@
 }
 
 /// The line that a statement of `length` bytes follows, and then `END`.
-pub fn forward(to: &mut Vec<u8>, id: &str, band: &str, left: u64, priority: Option<u8>, length: usize) {
+pub fn forward(
+    to: &mut Vec<u8>,
+    id: &str,
+    band: &str,
+    once: Option<&str>,
+    left: u64,
+    priority: Option<u8>,
+    length: usize,
+) {
     put!(to, "fetch {id} c={band},w={left}");
+    if let Some(once) = once {
+        put!(to, ",i={once}");
+    }
     if let Some(p) = priority {
         put!(to, ",prio={p}");
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -715,7 +715,7 @@
             let mut out = send(g, at, i, of);
             while let Some((slot, e)) = out.pop() {
                 sent[e].push(at);
-                let (mut sheet, fails) = (Sheet::default(), chance.lot() % 4 == 0);
+                let (mut sheet, fails) = (Sheet::default(), chance.lot().is_multiple_of(4));
                 let what = if fails { Outcome::Error } else { Outcome::Settled(None) };
                 g.outcome(at, slot, what, !fails, &mut sheet);
                 out.extend(sheet.forwards());
