--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -24,6 +24,9 @@
 const WAITING: u16 = 8;
 /// Silence worth a line in the log.
 const SILENT: u32 = 10;
+/// After so many questions without an answer the next go out from another socket: against a way that has died for the
+/// one alone. Longer than any answer that still counts takes.
+const ANOTHER_SOCKET: u32 = 2 * WAITING as u32;
 
 /// What a new configuration says of the roster: where to ask, and the changes up to then.
 pub struct Moved {
@@ -80,7 +83,7 @@
     }
 
     async fn ask(&mut self) -> std::io::Result<()> {
-        let socket = Async::<UdpSocket>::bind((self.from, 0))?;
+        let mut socket = Async::<UdpSocket>::bind((self.from, 0))?;
         self.shared.gauges.source.replace(format!("dns {}", self.names));
         let (mut query, mut packet) = (Vec::new(), vec![0; dns::ANSWER_MOST]);
         let (mut unanswered, mut unread) = (0u32, false);
@@ -93,6 +96,10 @@
             if unanswered == SILENT {
                 warn!(self.log, "name service is silent"; "questions" => unanswered);
             }
+            if unanswered.is_multiple_of(ANOTHER_SOCKET) {
+                // Without a descriptor the old one is better than none.
+                Async::<UdpSocket>::bind((self.from, 0)).into_iter().for_each(|another| socket = another);
+            }
             let until = Instant::now() + span(ASK_EVERY);
             let late = || async {
                 Timer::at(until).await;
--- a/crates/gateway/tests/crossings.rs
+++ b/crates/gateway/tests/crossings.rs
@@ -5,7 +5,7 @@
 use rustix::net::sockopt::set_socket_linger;
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -305,3 +305,49 @@
         assert!(g.process.wait().unwrap().success());
     }
 }
+
+#[test]
+fn a_name_service_that_falls_silent_towards_one_socket_is_asked_from_another() {
+    let answers = |row: &'static str| engine(move |line, _| (done(line, row), false));
+    let ((old, _), (new, _)) = (answers("old\t\t\n"), answers("new\t\t\n"));
+    let g = patient("silent-socket", &[("e1", old)], |_| {});
+    drop(Client::of(&g));
+    let service = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let names = service.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut query, mut first) = ([0; 512], None);
+        while let Ok((_, from)) = service.recv_from(&mut query) {
+            // Dead for the first socket for good.
+            if *first.get_or_insert(from) != from {
+                let _ = service.send_to(&[&query[..2], &answer(2, &[("e2", new, 0)])].concat(), from);
+            }
+        }
+    });
+    g.moves(&std::fs::read_to_string(g.dir.join("told.json")).unwrap(), names);
+    let (mut c, mut call) = (Client::of(&g), 1);
+    assert!(soon(|| {
+        call += 1;
+        c.ask(call);
+        c.rows().1 == b"new\t\t\n"
+    }));
+}
+
+#[test]
+fn without_a_descriptor_the_next_that_is_given_back_lets_a_client_in() {
+    let (at, _) = engine(good);
+    let g = patient("descriptors", &[("e1", at)], |_| {});
+    let mut c = Client::of(&g);
+    ask(&mut c, "lookup", 1);
+    assert_eq!(c.rows().0, 1);
+    let pid = rustix::process::Pid::from_raw(g.process.id() as i32);
+    let held = std::fs::read_dir(format!("/proc/{}/fd", g.process.id())).unwrap().count() as u64;
+    let most = rustix::process::Rlimit { current: Some(held + 4), maximum: Some(held + 4) };
+    rustix::process::prlimit(pid, rustix::process::Resource::Nofile, most).unwrap();
+    let mut rest: Vec<Client> = (0..12).map(|_| Client::of(&g)).collect();
+    rest.truncate(2);
+    let mut last = Client::of(&g);
+    ask(&mut last, "lookup", 2);
+    assert_eq!(last.rows().0, 2);
+    ask(&mut c, "lookup", 3);
+    assert_eq!(c.rows().0, 3, "what was there goes on");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,6 +16,8 @@
     Grant(f64),
     Note(String),
     Forget(usize),
+    /// The latest time at which the forward after it may begin.
+    By(Ms),
     Other(&'static str),
 }
 
@@ -36,8 +38,10 @@
 }
 
 impl Outlet for Sheet {
+    fn forward(&mut self, submission: usize, engine: usize, by: Ms) {
+        self.0.extend([Act::By(by), Act::Forward(submission, engine)]);
+    }
     takes_down! {
-        forward(submission: usize, engine: usize, _by: Ms) Act::Forward(submission, engine);
         withdraw(_submission: usize, _nth: u8) Act::Other("withdraw");
         terms(_submission: usize, _priority: u8, grant_mb: f64) Act::Grant(grant_mb);
         turn_back(submission: usize, come_back: Ms) Act::TurnBack(submission, come_back);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -686,6 +686,58 @@
     }
 }
 
+// Rule 2: an attempt that is decided in time may begin too late, so it travels with its latest time.
+#[test]
+fn an_attempt_travels_with_the_latest_time_at_which_it_may_begin() {
+    let by = |sheet: &Sheet| sheet.0.iter().find_map(|a| if let Act::By(by) = a { Some(*by) } else { None });
+    for (repeat, until, want) in [
+        (Repeat::Tagged(Within::All), 1e9, 1001.0),
+        (Repeat::Repeatable, 1e9, 3001.0),
+        (Repeat::Repeatable, 700.0, 700.0),
+        (Repeat::Tagged(Within::All), 700.0, 700.0),
+    ] {
+        let mut g = start(mandate(vec![band(1.0, 1.0, repeat)]), 2);
+        let mut sheet = Sheet::default();
+        g.take(1.0, 0, ask(0, 100.0), &mut sheet);
+        assert_eq!(by(&sheet), Some(3001.0), "first attempts have the whole time");
+        g.tenure(2.0, until, &mut Sheet::default());
+        let mut sheet = Sheet::default();
+        g.outcome(100.0, 0, Outcome::Error, false, &mut sheet);
+        assert_eq!(by(&sheet), Some(want), "{repeat:?} until {until}");
+    }
+}
+
+#[test]
+fn for_a_client_that_has_closed_its_way_nothing_more_begins() {
+    for (out, ends) in [(false, Act::TurnBack(0, 0.0)), (true, Act::Scrap(0))] {
+        let mut g = start(mandate(vec![band(1.0, 1.0, Repeat::OnceOnly)]), 2);
+        if !out {
+            // Full everywhere: what comes waits.
+            (0..8).for_each(|i| drop(send(&mut g, 1.0, 10 + i, ask(0, 100.0))));
+            (0..8).for_each(|i| g.outcome(2.0, 10 + i, Outcome::Full, false, &mut Sheet::default()));
+        }
+        assert_eq!(send(&mut g, 3.0, 0, ask(0, 100.0)).len(), out as usize);
+        let mut sheet = Sheet::default();
+        g.closed(4.0, 0, &mut sheet);
+        assert_eq!(sheet.0.contains(&ends), !out, "what is out may still be answered: {:?}", sheet.0);
+        g.outcome(5.0, 0, Outcome::Error, false, &mut sheet);
+        assert!(sheet.0.contains(&ends) && sheet.forwards().iter().all(|f| f.0 != 0), "{:?}", sheet.0);
+    }
+}
+
+#[test]
+fn what_an_earlier_process_of_an_engine_left_behind_speaks_not_against_the_new_one() {
+    let mut g = start(two_bands(), 2);
+    let sent: Vec<(usize, usize)> = (0..40).flat_map(|i| send(&mut g, 1.0, i, ask(0, 100.0))).collect();
+    let lines: Vec<Listed> = (0..2).map(|e| Listed { since: 5.0, ..line(e) }).collect();
+    g.roster(6.0, true, &lines, &mut Sheet::default());
+    for (slot, _) in sent {
+        g.outcome(7.0, slot, Outcome::Reset, true, &mut Sheet::default());
+    }
+    let views: Vec<_> = (0..2).map(|e| g.engine_view(e).unwrap()).collect();
+    assert!(views.iter().all(|v| (v.seen, v.threads) == (0, 0.0)), "{views:?}");
+}
+
 /// What all gateways together send to an engine that has just started, in each span: the share of the spans in which
 /// it was more than N + 2 root N + 2 usual requests, N being what the settings allow, and the most over N.
 ///
