--- a/crates/gateway/src/engine_tests.rs
+++ b/crates/gateway/src/engine_tests.rs
@@ -220,4 +220,6 @@
     b.order(Order::Forward(last.clone()));
     b.until("the last begins", || last.begun.get());
     assert!(third.begun.get() && b.events.is_empty());
+    let said = b.heard(&mut other, "fetch");
+    assert!(!said.contains("abort"), "{said}");
 }
