--- a/crates/change/src/document.rs
+++ b/crates/change/src/document.rs
@@ -1,7 +1,7 @@
 //! The settings document: what of a gateway's mandate may be read and set. Its JSON is that of the YANG module
 //! (RFC 7951), so that neither has to be mapped to the other.
 
-use ironstair::{Mandate, Ms, Repeat, Within};
+use ironstair::{Effect, Mandate, Ms, Within};
 use ironstair_cells::assign::Wrong;
 use ironstair_cells::{Assignment, Choice, Keeper};
 use serde::de::Error;
@@ -286,16 +286,16 @@
             payoff: Decimal::of(t.payoff),
             threads: t.threads as u16,
             repeat: match t.repeat {
-                Repeat::Repeatable => Again::Repeatable,
-                Repeat::Tagged(_) => Again::Tagged,
-                Repeat::OnceOnly => Again::OnceOnly,
+                Effect::Idempotent => Again::Repeatable,
+                Effect::Deduplicated(_) => Again::Tagged,
+                Effect::NonIdempotent => Again::OnceOnly,
             },
             within: match t.repeat {
-                Repeat::Tagged(Within::Zone) => Group::Zone,
-                Repeat::Tagged(Within::MarkGroup) => Group::MarkGroup,
+                Effect::Deduplicated(Within::Zone) => Group::Zone,
+                Effect::Deduplicated(Within::MarkGroup) => Group::MarkGroup,
                 _ => Group::All,
             },
-            window: matches!(t.repeat, Repeat::Tagged(_)).then(|| whole(t.window)),
+            window: matches!(t.repeat, Effect::Deduplicated(_)).then(|| whole(t.window)),
             in_order: t.in_order,
             zone: named(&t.zones, &frame.zones),
             kind: named(&t.kinds, &frame.kinds),
--- a/crates/change/src/plan.rs
+++ b/crates/change/src/plan.rs
@@ -2,7 +2,7 @@
 //! over whole, between two events of the decision module, or none of it is.
 
 use crate::document::{band_path, fault, Again, Band, Document, Fault, Frame, Group};
-use ironstair::{Mandate, Ms, Ration, Repeat, Terms, Within};
+use ironstair::{Effect, Mandate, Ms, Ration, Terms, Within};
 use std::collections::BTreeMap;
 
 /// Bands that may ever have been in a gateway's life: their indices are never used again, since submissions,
@@ -263,12 +263,12 @@
     }
 }
 
-fn repeat(slot: &Slot) -> Repeat {
+fn repeat(slot: &Slot) -> Effect {
     match (slot.repeat, slot.within) {
-        (Again::Repeatable, _) => Repeat::Repeatable,
-        (Again::OnceOnly, _) => Repeat::OnceOnly,
-        (Again::Tagged, Group::All) => Repeat::Tagged(Within::All),
-        (Again::Tagged, Group::Zone) => Repeat::Tagged(Within::Zone),
-        (Again::Tagged, Group::MarkGroup) => Repeat::Tagged(Within::MarkGroup),
+        (Again::Repeatable, _) => Effect::Idempotent,
+        (Again::OnceOnly, _) => Effect::NonIdempotent,
+        (Again::Tagged, Group::All) => Effect::Deduplicated(Within::All),
+        (Again::Tagged, Group::Zone) => Effect::Deduplicated(Within::Zone),
+        (Again::Tagged, Group::MarkGroup) => Effect::Deduplicated(Within::MarkGroup),
     }
 }
--- a/crates/change/tests/plan.rs
+++ b/crates/change/tests/plan.rs
@@ -1,6 +1,6 @@
 //! What a change does and when, and what it can't be.
 
-use ironstair::{Kind, Mandate, Ration, Repeat, Terms, Within};
+use ironstair::{Effect, Kind, Mandate, Ration, Terms, Within};
 use ironstair_change::document::{Document, Frame};
 use ironstair_change::plan::{plan, Origin, Roll, When, ROLL_MOST};
 use ironstair_change::Decimal;
@@ -16,7 +16,10 @@
     };
     let mandate = Mandate {
         gateways: 3.0,
-        bands: vec![terms(1000.25, Repeat::Repeatable), terms(5000.0, Repeat::Tagged(Within::MarkGroup))],
+        bands: vec![
+            terms(1000.25, Effect::Idempotent),
+            terms(5000.0, Effect::Deduplicated(Within::MarkGroup)),
+        ],
         kinds: vec![Kind { cores: 16.0, memory_mb: 1.0 }],
         most_forwards: 6,
         cold_from: 0.123456,
@@ -74,7 +77,7 @@
     assert_eq!((new.bands[0].zones.clone(), new.gateways), (Some(vec![1]), 4.0));
     assert!(new.ration.is_none() && new.bands[1].closed && !new.bands[0].closed);
     // Out of service it still tells apart what it takes and what may run again.
-    assert_eq!((new.bands[1].repeat, new.bands[1].threads), (Repeat::Tagged(Within::MarkGroup), 2.0));
+    assert_eq!((new.bands[1].repeat, new.bands[1].threads), (Effect::Deduplicated(Within::MarkGroup), 2.0));
 }
 
 #[test]
--- a/crates/change/tests/renewal.rs
+++ b/crates/change/tests/renewal.rs
@@ -1,10 +1,10 @@
 //! A replaced file, there and back, without a gateway.
 
-use ironstair::{Kind, Mandate, Repeat, Terms};
+use ironstair::{Effect, Kind, Mandate, Terms};
 use ironstair_change::renewal::{File, Renewal};
 use ironstair_change::Frame;
 
-fn band(threads: f64, repeat: Repeat, kinds: Option<Vec<u16>>) -> Terms {
+fn band(threads: f64, repeat: Effect, kinds: Option<Vec<u16>>) -> Terms {
     let (expected, payoff) = (500.0, 1.0);
     Terms { expected, payoff, threads, repeat, kinds, ..Default::default() }
 }
@@ -20,7 +20,7 @@
 }
 
 fn first() -> File {
-    let safe = Repeat::Repeatable;
+    let safe = Effect::Idempotent;
     file(
         vec![("lookup", band(1.0, safe, None)), ("report", band(4.0, safe, Some(vec![1])))],
         &[("s", 8.0), ("l", 16.0)],
@@ -28,9 +28,9 @@
 }
 
 fn second() -> File {
-    let load = Terms { in_order: true, ..band(2.0, Repeat::OnceOnly, None) };
-    let report = band(2.0, Repeat::Repeatable, Some(vec![0]));
-    let lookup = band(1.0, Repeat::Repeatable, None);
+    let load = Terms { in_order: true, ..band(2.0, Effect::NonIdempotent, None) };
+    let report = band(2.0, Effect::Idempotent, Some(vec![0]));
+    let lookup = band(1.0, Effect::Idempotent, None);
     let mut f =
         file(vec![("load", load), ("report", report), ("lookup", lookup)], &[("l", 12.0), ("new", 4.0)]);
     f.mandate.key_rest = 300.0;
@@ -86,7 +86,7 @@
 fn bands_that_come_and_go_for_ever_are_refused_in_the_end() {
     // Against memory that grows with every file.
     let mut now = Renewal::new(first());
-    let many = |n: usize| file(vec![(&*format!("b{n}"), band(1.0, Repeat::Repeatable, None))], &[("s", 8.0)]);
+    let many = |n: usize| file(vec![(&*format!("b{n}"), band(1.0, Effect::Idempotent, None))], &[("s", 8.0)]);
     let end = (0..400).find_map(|n| match now.renew(many(n)) {
         Ok(next) => {
             now = next.unwrap();
--- a/crates/mandate/src/lib.rs
+++ b/crates/mandate/src/lib.rs
@@ -1,7 +1,7 @@
 //! Reads the settings object that every host of the decisions is given. A figure that a rule rests on is
 //! never guessed: without it, no start.
 
-use ironstair::{Kind, Load, Mandate, Ms, Ration, Repeat, Terms, Within};
+use ironstair::{Effect, Kind, Load, Mandate, Ms, Ration, Terms, Within};
 use serde_json::Value;
 
 const NS: f64 = 1e6;
@@ -53,13 +53,13 @@
         Some(other) => return Err(format!("group {other} is unknown")),
     };
     let repeat = match word(c, "semantics")? {
-        "pure" => Repeat::Repeatable,
-        "token" => Repeat::Tagged(within),
-        "side_effect" => Repeat::OnceOnly,
+        "pure" => Effect::Idempotent,
+        "token" => Effect::Deduplicated(within),
+        "side_effect" => Effect::NonIdempotent,
         other => return Err(format!("semantics {other} is unknown")),
     };
     let window = match repeat {
-        Repeat::Tagged(_) => time(c, "window_ns")?,
+        Effect::Deduplicated(_) => time(c, "window_ns")?,
         _ => 0.0,
     };
     Ok(Terms {
--- a/crates/trial/src/clients.rs
+++ b/crates/trial/src/clients.rs
@@ -1,7 +1,7 @@
 //! Who asks: submissions that come by chance, and come again when they are turned back. All figures are assumed.
 
 use ironstair::sums::{mix, Pcg};
-use ironstair::{Kind, Mandate, Ms, Ration, Repeat, Terms};
+use ironstair::{Effect, Kind, Mandate, Ms, Ration, Terms};
 
 /// One band: how often it is asked for, and what that takes.
 struct Asked {
@@ -11,7 +11,7 @@
     expected: Ms,
     limit: Ms,
     payoff: f64,
-    repeat: Repeat,
+    repeat: Effect,
 }
 
 const BANDS: [Asked; 3] = [
@@ -22,7 +22,7 @@
         expected: 600.0,
         limit: 2500.0,
         payoff: 1.0,
-        repeat: Repeat::Repeatable,
+        repeat: Effect::Idempotent,
     },
     Asked {
         share: 0.04,
@@ -31,7 +31,7 @@
         expected: 5000.0,
         limit: 12_000.0,
         payoff: 3.0,
-        repeat: Repeat::Repeatable,
+        repeat: Effect::Idempotent,
     },
     Asked {
         share: 0.16,
@@ -40,7 +40,7 @@
         expected: 600.0,
         limit: 2500.0,
         payoff: 2.0,
-        repeat: Repeat::OnceOnly,
+        repeat: Effect::NonIdempotent,
     },
 ];
 /// Multiples of it fall evenly between whole numbers.
@@ -76,7 +76,7 @@
 }
 
 pub fn once_only(band: usize) -> bool {
-    BANDS[band].repeat == Repeat::OnceOnly
+    BANDS[band].repeat == Effect::NonIdempotent
 }
 
 pub fn payoff(band: usize) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,11 +30,11 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Repeat {
-    Repeatable,
-    Tagged(Within),
+pub enum Effect {
+    Idempotent,
+    Deduplicated(Within),
     #[default]
-    OnceOnly,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +52,7 @@
     pub expected_stretch: f64,
     pub payoff: f64,
     pub threads: f64,
-    pub repeat: Repeat,
+    pub repeat: Effect,
     pub window: Ms,
     pub in_order: bool,
     /// Holds its table group on its engine while it runs.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 //! [`Outlet`] at once; lib.rs has that and the types that cross.
 
 use crate::sums::{mix, part, Fade, Guess, Pcg};
-use crate::{Listed, Load, Mandate, Ms, Outcome, Outlet, Repeat, Standing, Submission, Terms, Within};
+use crate::{Effect, Listed, Load, Mandate, Ms, Outcome, Outlet, Standing, Submission, Terms, Within};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
@@ -605,7 +605,7 @@
         let terms = &self.m.bands[s.of.band];
         s.forwards < self.m.most_forwards.min(s.most)
             && match terms.repeat {
-                Repeat::OnceOnly => s.may_have_run.is_empty(),
+                Effect::NonIdempotent => s.may_have_run.is_empty(),
                 _ => self.now <= self.window_ends(s),
             }
     }
@@ -618,7 +618,7 @@
     /// Until when engines know a further attempt for one of those that may have run.
     fn window_ends(&self, s: &Taken) -> Ms {
         let terms = &self.m.bands[s.of.band];
-        let ran = s.may_have_run.iter().filter(|_| matches!(terms.repeat, Repeat::Tagged(_)));
+        let ran = s.may_have_run.iter().filter(|_| matches!(terms.repeat, Effect::Deduplicated(_)));
         ran.map(|r| r.1 + s.under.window.min(terms.window)).fold(f64::INFINITY, f64::min)
     }
 
@@ -746,8 +746,8 @@
     fn allowed(&self, s: &Taken, e: &Engine) -> bool {
         let (terms, line) = (&self.m.bands[s.of.band], &e.listed);
         let same = |other: &Listed| match terms.repeat {
-            Repeat::Tagged(Within::Zone) => other.zone == line.zone,
-            Repeat::Tagged(Within::MarkGroup) => other.marks == line.marks,
+            Effect::Deduplicated(Within::Zone) => other.zone == line.zone,
+            Effect::Deduplicated(Within::MarkGroup) => other.marks == line.marks,
             _ => true,
         };
         (terms.fits(line) && s.under.fits(line))
@@ -848,7 +848,7 @@
     fn end(&mut self, sub: usize, come_back: Ms, out: &mut dyn Outlet) -> bool {
         let s = &self.subs[sub];
         let harmless = match self.m.bands[s.of.band].repeat {
-            Repeat::Repeatable | Repeat::Tagged(Within::All) => self.now <= self.window_ends(s),
+            Effect::Idempotent | Effect::Deduplicated(Within::All) => self.now <= self.window_ends(s),
             _ => s.may_have_run.is_empty(),
         };
         match harmless {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use ironstair::{
-    Kind, Listed, Mandate, Ms, Outcome, Outlet, Ration, Repeat, Standing, Submission, Terms, Within,
+    Effect, Kind, Listed, Mandate, Ms, Outcome, Outlet, Ration, Standing, Submission, Terms, Within,
 };
 use std::collections::BTreeMap;
 
@@ -62,7 +62,7 @@
     };
 }
 
-pub fn band(payoff: f64, threads: f64, repeat: Repeat) -> Terms {
+pub fn band(payoff: f64, threads: f64, repeat: Effect) -> Terms {
     Terms {
         expected: 500.0,
         expected_stretch: 2.0,
@@ -99,10 +99,10 @@
 }
 
 pub fn motley() -> Mandate {
-    let tagged = |within| band(2.0, 1.0, Repeat::Tagged(within));
+    let tagged = |within| band(2.0, 1.0, Effect::Deduplicated(within));
     let mut m = mandate(vec![
-        band(1.0, 1.0, Repeat::Repeatable),
-        band(6.0, 4.0, Repeat::OnceOnly),
+        band(1.0, 1.0, Effect::Idempotent),
+        band(6.0, 4.0, Effect::NonIdempotent),
         tagged(Within::All),
         tagged(Within::Zone),
         tagged(Within::MarkGroup),
@@ -199,7 +199,7 @@
             Act::Forward(slot, engine) => self.forward(now, self.at[slot], *engine),
             Act::TurnBack(slot, _) | Act::Scrap(slot) => {
                 let h = &self.held[self.at[slot]];
-                let again = [Repeat::Repeatable, Repeat::Tagged(Within::All)];
+                let again = [Effect::Idempotent, Effect::Deduplicated(Within::All)];
                 let ok = again.contains(&self.m.bands[h.of.band].repeat)
                     || !h.tries.iter().any(|t| t.may_have_run());
                 breaks!(h.over, "1: two final answers");
@@ -227,11 +227,11 @@
         for ran in h.tries.iter().filter(|t| t.may_have_run()) {
             let other = self.roster[&ran.engine];
             let same = match terms.repeat {
-                Repeat::Repeatable => continue,
-                Repeat::OnceOnly => return Err("2: once-only again".into()),
-                Repeat::Tagged(Within::All) => true,
-                Repeat::Tagged(Within::Zone) => other.zone == line.zone,
-                Repeat::Tagged(Within::MarkGroup) => other.marks == line.marks,
+                Effect::Idempotent => continue,
+                Effect::NonIdempotent => return Err("2: once-only again".into()),
+                Effect::Deduplicated(Within::All) => true,
+                Effect::Deduplicated(Within::Zone) => other.zone == line.zone,
+                Effect::Deduplicated(Within::MarkGroup) => other.marks == line.marks,
             };
             breaks!(
                 !same || now > ran.sent + terms.window.min(under.window),
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -14,7 +14,7 @@
 }
 
 fn two_bands() -> Mandate {
-    mandate(vec![band(1.0, 1.0, Repeat::Repeatable), band(6.0, 4.0, Repeat::Repeatable)])
+    mandate(vec![band(1.0, 1.0, Effect::Idempotent), band(6.0, 4.0, Effect::Idempotent)])
 }
 
 /// Settles quickly at first, then slowly, so that the only engines are under pressure at the time returned.
@@ -76,7 +76,7 @@
 
 #[test]
 fn idle_time_is_not_banked() {
-    let mut g = start(mandate(vec![band(1.0, 1.0, Repeat::Repeatable); 2]), 1);
+    let mut g = start(mandate(vec![band(1.0, 1.0, Effect::Idempotent); 2]), 1);
     let now = press(&mut g, 0..8);
     for i in 10..26 {
         send(&mut g, now, i, ask(i % 2, 100.0));
@@ -169,7 +169,7 @@
 #[test]
 fn a_forward_that_later_ones_overtook_slows_nobody_and_goes_again_where_it_may() {
     // Against answers that get lost: waited for, they make every engine look jammed, and their clients wait in vain.
-    for repeat in [Repeat::Repeatable, Repeat::OnceOnly] {
+    for repeat in [Effect::Idempotent, Effect::NonIdempotent] {
         let m = Mandate { may_withdraw: true, ..mandate(vec![band(1.0, 1.0, repeat)]) };
         let (mut g, mut sheet, mut now) = (start(m, 1), Sheet::default(), 1.0);
         let of = Submission { left: 20_000.0, ..ask(0, 100.0) };
@@ -179,13 +179,13 @@
             now += 50.0;
             g.outcome(now, 1, Outcome::Settled(None), true, &mut sheet);
         }
-        assert_eq!(sheet.0.contains(&Act::Other("withdraw")), repeat == Repeat::Repeatable);
+        assert_eq!(sheet.0.contains(&Act::Other("withdraw")), repeat == Effect::Idempotent);
         let anew = 250.0..700.0;
         assert!(
-            repeat != Repeat::Repeatable || anew.contains(&now),
+            repeat != Effect::Idempotent || anew.contains(&now),
             "five times its usual 50 ms, in time: {now}"
         );
-        if repeat == Repeat::Repeatable {
+        if repeat == Effect::Idempotent {
             let mut sheet = Sheet::default();
             g.outcome(now, 0, Outcome::Withdrawn, false, &mut sheet);
             assert_eq!(sheet.forwards(), [(0, 0)], "late, but without pressure still worth a part");
@@ -366,7 +366,7 @@
     send(&mut g, 1.0, 1, ask(1, 4000.0));
     let weights = |g: &Gateway| (0..2).map(|b| g.band_view(b).unwrap().weight).collect::<Vec<_>>();
     let before = weights(&g);
-    m.bands.push(band(1.0, 1.0, Repeat::Repeatable));
+    m.bands.push(band(1.0, 1.0, Effect::Idempotent));
     g.amend(2.0, m, &mut Sheet::default());
     assert_eq!((weights(&g), before[0]), (before, 0.01));
     send(&mut g, 3.0, 2, ask(2, 300.0));
@@ -390,7 +390,7 @@
 #[test]
 fn of_the_window_in_which_a_tagged_one_may_run_again_the_shorter_holds() {
     for (then, now, again) in [(1000.0, 1000.0, 1), (1000.0, 100.0, 0), (100.0, 1000.0, 0)] {
-        let mut m = mandate(vec![band(1.0, 1.0, Repeat::Tagged(Within::All))]);
+        let mut m = mandate(vec![band(1.0, 1.0, Effect::Deduplicated(Within::All))]);
         m.bands[0].window = then;
         let mut g = start(m.clone(), 2);
         send(&mut g, 1.0, 0, ask(0, 100.0));
@@ -406,7 +406,7 @@
 fn a_band_out_of_service_from_the_start_does_not_keep_the_weights_from_heeding_work() {
     // Against a restart with a band that was taken out before: nothing ever comes of it.
     let mut m = two_bands();
-    m.bands.push(Terms { closed: true, ..band(1.0, 1.0, Repeat::Repeatable) });
+    m.bands.push(Terms { closed: true, ..band(1.0, 1.0, Effect::Idempotent) });
     let mut g = start(m, 2);
     send(&mut g, 1.0, 0, ask(0, 100.0));
     send(&mut g, 1.0, 1, ask(1, 4000.0));
@@ -592,7 +592,7 @@
     // Against forwards that take many times as long by a plan drawn anew for each: waited for, they hold an engine's
     // threads, miss their time and make it look jammed.
     for (may_withdraw, repeat) in
-        [(true, Repeat::Repeatable), (true, Repeat::OnceOnly), (false, Repeat::Repeatable)]
+        [(true, Effect::Idempotent), (true, Effect::NonIdempotent), (false, Effect::Idempotent)]
     {
         let m = Mandate { may_withdraw, ..mandate(vec![band(1.0, 1.0, repeat)]) };
         let mut g = start(m, 2);
@@ -610,7 +610,7 @@
         let stretch = |g: &Gateway| g.engine_view(first).unwrap().stretch;
         let was = stretch(&g);
         g.progress(now + 1300.0, 2, 0.02, &mut sheet);
-        let anew = may_withdraw && repeat == Repeat::Repeatable;
+        let anew = may_withdraw && repeat == Effect::Idempotent;
         assert_eq!(sheet.0.contains(&Act::Other("withdraw")), anew, "{repeat:?}");
         if anew {
             let mut sheet = Sheet::default();
@@ -660,7 +660,7 @@
 fn a_table_group_that_most_ask_for_has_more_homes() {
     // Against few groups that fill two engines each and leave the others idle.
     let spread = |groups: u64| {
-        let mut g = start(mandate(vec![band(1.0, 1.0, Repeat::Repeatable)]), 12);
+        let mut g = start(mandate(vec![band(1.0, 1.0, Effect::Idempotent)]), 12);
         let sent: Vec<usize> = (0..120)
             .map(|i| send(&mut g, 1.0, i, Submission { tables: i as u64 % groups, ..ask(0, 100.0) })[0].1)
             .collect();
@@ -675,7 +675,7 @@
 #[test]
 fn heavy_bands_leave_engines_that_another_band_must_have_to_the_last() {
     // Against a kind that is full of what could run elsewhere.
-    let mut m = mandate(vec![band(1.0, 1.0, Repeat::Repeatable); 3]);
+    let mut m = mandate(vec![band(1.0, 1.0, Effect::Idempotent); 3]);
     m.bands[1].kinds = Some(vec![1]);
     let mut g = start(m, 8);
     let now = learn(&mut g, 20, |_| ask(0, 100.0), |_| Cost { work: 100.0, memory_mb: 0.0 });
@@ -691,10 +691,10 @@
 fn an_attempt_travels_with_the_latest_time_at_which_it_may_begin() {
     let by = |sheet: &Sheet| sheet.0.iter().find_map(|a| if let Act::By(by) = a { Some(*by) } else { None });
     for (repeat, until, want) in [
-        (Repeat::Tagged(Within::All), 1e9, 1001.0),
-        (Repeat::Repeatable, 1e9, 3001.0),
-        (Repeat::Repeatable, 700.0, 700.0),
-        (Repeat::Tagged(Within::All), 700.0, 700.0),
+        (Effect::Deduplicated(Within::All), 1e9, 1001.0),
+        (Effect::Idempotent, 1e9, 3001.0),
+        (Effect::Idempotent, 700.0, 700.0),
+        (Effect::Deduplicated(Within::All), 700.0, 700.0),
     ] {
         let mut g = start(mandate(vec![band(1.0, 1.0, repeat)]), 2);
         let mut sheet = Sheet::default();
@@ -710,7 +710,7 @@
 #[test]
 fn for_a_client_that_has_closed_its_way_nothing_more_begins() {
     for (out, ends) in [(false, Act::TurnBack(0, 0.0)), (true, Act::Scrap(0))] {
-        let mut g = start(mandate(vec![band(1.0, 1.0, Repeat::OnceOnly)]), 2);
+        let mut g = start(mandate(vec![band(1.0, 1.0, Effect::NonIdempotent)]), 2);
         if !out {
             // Full everywhere: what comes waits.
             (0..8).for_each(|i| drop(send(&mut g, 1.0, 10 + i, ask(0, 100.0))));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -65,7 +65,7 @@
                 m.ration =
                     m.ration.map(|r| Ration { spare: (a % 4) as f64, share: 0.05 * (a % 3) as f64, ..r })
             }
-            _ if n < 8 => m.bands.push(band(1.0 + a as f64, 1.0, Repeat::OnceOnly)),
+            _ if n < 8 => m.bands.push(band(1.0 + a as f64, 1.0, Effect::NonIdempotent)),
             _ => m.cold_from = 0.3 + (a % 7) as f64 / 10.0,
         }
         self.referee.m = m.clone();
