--- a/crates/gateway/tests/crossings.rs
+++ b/crates/gateway/tests/crossings.rs
@@ -152,20 +152,25 @@
     });
     let g = patient("held-back", &[("e1", at)], |told| {
         told["limits"] = json!({"memory_mb": 192, "sockets": 8});
+        told["settings"]["policy_limits"]["multiplex"] = json!(64);
     });
-    let mut c = Client::of(&g);
-    let long = "QUJD".repeat(40_000);
-    for call in 1..=30u64 {
+    // For each of the two more than the system takes for a peer that reads nothing (4 MiB).
+    let long = "QUJD".repeat(62_000);
+    let mut filling = [Client::of(&g), Client::of(&g)];
+    for call in 1..=60u64 {
         let fields = format!(r#""id":"{call:016x}","wait":7000,"bytes":"{long}""#);
-        c.say(&format!(r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{{fields}}}}}"#));
+        let whole = format!(r#"{{"jsonrpc":"2.0","id":{call},"method":"lookup","params":{{{fields}}}}}"#);
+        filling[call as usize % 2].say(&whole);
     }
+    filling.iter_mut().for_each(heard);
+    let mut c = Client::of(&g);
     ask(&mut c, "lookup", 77);
     heard(&mut c);
     c.say(r#"{"jsonrpc":"2.0","method":"interrupt","params":{"id":77}}"#);
     heard(&mut c);
     read.send(()).unwrap();
     let all = reader.join().unwrap();
-    assert!(all.contains("fetch 000000000000001e"), "what lay before it is written");
+    assert!(all.contains("fetch 000000000000003c"), "what lay before it is written");
     assert!(!all.contains("fetch 000000000000004d"), "begun after it was taken back");
 }
 
