--- a/crates/gateway/benches/calls.rs
+++ b/crates/gateway/benches/calls.rs
@@ -32,7 +32,7 @@
 struct Hands(Option<usize>);
 
 impl Outlet for Hands {
-    fn forward(&mut self, submission: usize, _engine: usize, _by: Ms) {
+    fn attempt(&mut self, submission: usize, _engine: usize, _by: Ms) {
         self.0 = Some(submission);
     }
     fn withdraw(&mut self, _: usize, _: u8) {}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,4 +1,4 @@
-//! An engine's actor: the owner of its connections, of the forwards open there with their time-outs, and of
+//! An engine's actor: the owner of its connections, of the attempts open there with their time-outs, and of
 //! the pages that have come in.
 
 use crate::link::carry;
@@ -8,7 +8,7 @@
 use ironstair::{Cost, Ms, Outcome};
 use ironstair_mail::pool::{Buffer, Chain};
 use ironstair_mail::wait::next;
-use ironstair_mail::{Event, Forward, Id, Order, Shared};
+use ironstair_mail::{Attempt, Event, Id, Order, Shared};
 use ironstair_protocol::lines::{self, Fields, Word};
 use slog::warn;
 use std::cell::Cell;
@@ -24,14 +24,14 @@
 const MEMORY_MOST: f64 = 1e8;
 /// So many connections to an engine at most: all that is open on one is lost with it.
 const LINKS_MOST: usize = 16;
-/// The engine closes connections that idle: ours go a little sooner, so that no forward crosses that.
+/// The engine closes connections that idle: ours go a little sooner, so that no attempt crosses that.
 const IDLE_SHARE: f64 = 0.75;
 
 /// Given up on one connection, so many at most are remembered: their answers may still come.
 const GIVEN_UP_MOST: usize = 32;
 
 struct Flight {
-    of: Rc<Forward>,
+    of: Rc<Attempt>,
     link: u64,
     sent: Ms,
     /// Once the engine is done: its pages as they come in, and what it needed.
@@ -41,11 +41,11 @@
 
 /// What waits to be written: an attempt, whose bytes are made when it begins, or lines.
 struct Parcel {
-    attempt: Option<Rc<Forward>>,
+    attempt: Option<Rc<Attempt>>,
     bytes: Vec<u8>,
     written: usize,
     /// The attempt that these lines withdraw: it is over once they are written.
-    withdraws: Option<Rc<Forward>>,
+    withdraws: Option<Rc<Attempt>>,
 }
 
 struct Link {
@@ -55,7 +55,7 @@
     /// When it came up or last brought something.
     heard: Ms,
     idle_since: Ms,
-    /// A forward was given up here with nothing heard for longer than it was expected to take.
+    /// An attempt was given up here with nothing heard for longer than it was expected to take.
     silent: bool,
     /// Attempts given up here: another of the same request goes elsewhere, since the answers look alike.
     given_up: VecDeque<Id>,
@@ -135,7 +135,7 @@
 
     fn heed(&mut self, order: Order) {
         match order {
-            Order::Forward(of) => self.forward(of),
+            Order::Attempt(of) => self.attempt(of),
             Order::Withdraw(of) => self.withdraw(&of),
             Order::Priority(id, n) => {
                 if let Some(f) = self.flights.get(&id) {
@@ -163,7 +163,7 @@
     }
 
     /// A connection with nothing open, else a new one: what spoils one loses all that is open on it. Beyond
-    /// this engine's part of the descriptors, the connection with the fewest open forwards.
+    /// this engine's part of the descriptors, the connection with the fewest open attempts.
     fn link(&mut self, of: Option<&Id>) -> u64 {
         // Against a machine cut off, whose connections stay open and silent, maybe for good: a new one tells.
         let silent: Vec<u64> = self.flights.values().filter(|f| self.unheard(f)).map(|f| f.link).collect();
@@ -198,13 +198,13 @@
         self.opened
     }
 
-    /// Whether its connection has been silent for longer than the forward was expected to take.
+    /// Whether its connection has been silent for longer than the attempt was expected to take.
     fn unheard(&self, f: &Flight) -> bool {
         let heard = self.links.get(&f.link).filter(|l| l.stream.is_some()).map(|l| l.heard.max(f.sent));
         heard.is_some_and(|h| self.shared.clock.now() - h > self.shared.bands()[f.of.band].expected)
     }
 
-    fn forward(&mut self, of: Rc<Forward>) {
+    fn attempt(&mut self, of: Rc<Attempt>) {
         let (id, sent) = (of.id, self.shared.clock.now());
         if !of.may_begin(sent) {
             self.events.push(Event::Ended { id, what: Outcome::Unsent, rows: None });
@@ -247,7 +247,7 @@
                     let (band, size) = (&bands[of.band].name, of.statement.size());
                     let once = of.once.as_deref();
                     let priority = of.priority.get();
-                    lines::forward(&mut first.bytes, text(&of.id), band, once, left as u64, priority, size);
+                    lines::attempt(&mut first.bytes, text(&of.id), band, once, left as u64, priority, size);
                     of.statement.0.iter().for_each(|b| first.bytes.extend(b.bytes()));
                     first.bytes.extend(lines::END);
                 }
@@ -261,7 +261,7 @@
                     }
                     let withdraws = l.out.pop_front().and_then(|p| p.withdraws);
                     let own =
-                        |of: &Rc<Forward>| self.flights.get(&of.id).is_some_and(|f| Rc::ptr_eq(&f.of, of));
+                        |of: &Rc<Attempt>| self.flights.get(&of.id).is_some_and(|f| Rc::ptr_eq(&f.of, of));
                     if let Some(of) = withdraws.filter(own) {
                         self.end(&of.id, Outcome::Withdrawn, None);
                     }
@@ -278,7 +278,7 @@
 
     /// Overtakes the attempt where that has not begun. Where it has, it is over once the engine has been told, or its
     /// connection is closed: until then another may not be out.
-    fn withdraw(&mut self, of: &Rc<Forward>) {
+    fn withdraw(&mut self, of: &Rc<Attempt>) {
         let id = &of.id;
         // Another of the same request may be here by now.
         let Some(f) = self.flights.get(id).filter(|f| Rc::ptr_eq(&f.of, of)) else { return };
@@ -418,7 +418,7 @@
                 *at = self.shared.pool.lend();
                 match at {
                     Some(b) => b.append(body),
-                    // No room for it: pages that still come must not be taken for the next forward's.
+                    // No room for it: pages that still come must not be taken for the next attempt's.
                     None => return self.drop_link(link, Outcome::Swept),
                 };
             }
@@ -433,7 +433,7 @@
         }
     }
 
-    /// The one place where a forward's room on its connection is given back.
+    /// The one place where an attempt's room on its connection is given back.
     fn end(&mut self, id: &Id, what: Outcome, rows: Option<Chain>) {
         let Some(f) = self.flights.remove(id) else { return };
         let silent = matches!(what, Outcome::Withdrawn | Outcome::TimedOut) && self.unheard(&f);
@@ -447,7 +447,7 @@
         self.events.push(Event::Ended { id: *id, what, rows });
     }
 
-    /// One loss speaks against the engine once, by its longest open forward; what else was open there went
+    /// One loss speaks against the engine once, by its longest open attempt; what else was open there went
     /// with the connection. What still waited for it was never written.
     fn drop_link(&mut self, link: u64, how: Outcome) {
         let Some(l) = self.links.remove(&link) else { return };
--- a/crates/gateway/src/engine_tests.rs
+++ b/crates/gateway/src/engine_tests.rs
@@ -56,13 +56,13 @@
 }
 
 impl Bench {
-    fn attempt(&self, nth: u8) -> Rc<Forward> {
+    fn attempt(&self, nth: u8) -> Rc<Attempt> {
         let mut statement = Chain::default();
         let mut buffer = self.shared.pool.lend().unwrap();
         buffer.append(b"select 1");
         statement.0.push(buffer);
         let limit = self.shared.clock.now() + 4000.0;
-        Rc::new(Forward {
+        Rc::new(Attempt {
             id: format!("{nth:016x}").into_bytes().try_into().unwrap(),
             band: 0,
             statement: Rc::new(statement),
@@ -144,7 +144,7 @@
 #[test]
 fn what_may_not_begin_any_more_is_never_written_and_never_ran() {
     // Each happens behind the order to begin, and before the actor has seen that.
-    type Crosses = fn(&Bench, &Rc<Forward>);
+    type Crosses = fn(&Bench, &Rc<Attempt>);
     let crosses: [(&str, Crosses); 6] = [
         ("withdrawn, the order still behind", |_, of| of.withdraw()),
         ("withdrawn, both in the mailbox", |b, of| {
@@ -164,7 +164,7 @@
         for in_mailbox in [true, false] {
             let b = bench(8);
             let of = b.attempt(1);
-            b.order(Order::Forward(of.clone()));
+            b.order(Order::Attempt(of.clone()));
             if !in_mailbox {
                 // One step of the actor alone: the connection is on its way.
                 assert!(b.shared.executor.try_tick());
@@ -179,7 +179,7 @@
 #[test]
 fn an_idle_connection_that_its_engine_has_closed_is_not_written_to() {
     let b = bench(8);
-    b.order(Order::Forward(b.attempt(1)));
+    b.order(Order::Attempt(b.attempt(1)));
     let mut first = b.accepted();
     b.heard(&mut first, "fetch");
     first.write_all(&done(1)).unwrap();
@@ -188,7 +188,7 @@
     drop(first);
     until_closed_by_peer(b.listener.local_addr().unwrap().port());
     let of = b.attempt(2);
-    b.order(Order::Forward(of.clone()));
+    b.order(Order::Attempt(of.clone()));
     assert_eq!(b.ended(), (of.id, Outcome::Unsent), "it never ran, and that is known");
 }
 
@@ -196,7 +196,7 @@
 fn a_withdrawn_attempt_is_out_until_the_engine_has_been_told() {
     let b = bench(8);
     let of = b.attempt(1);
-    b.order(Order::Forward(of.clone()));
+    b.order(Order::Attempt(of.clone()));
     let mut stream = b.accepted();
     b.heard(&mut stream, "fetch");
     of.withdraw();
@@ -205,7 +205,7 @@
     b.heard(&mut stream, "abort 0000000000000001");
     // The next attempt of the same request does not meet the answer to the first, which may still come.
     let again = b.attempt(1);
-    b.order(Order::Forward(again.clone()));
+    b.order(Order::Attempt(again.clone()));
     let mut other = b.accepted();
     b.heard(&mut other, "fetch");
     stream.write_all(&done(1)).unwrap();
@@ -213,11 +213,11 @@
     assert_eq!(b.ended(), (again.id, Outcome::Error));
     // Nor is it taken back by a withdrawal of the first that comes late.
     let third = b.attempt(1);
-    b.order(Order::Forward(third.clone()));
+    b.order(Order::Attempt(third.clone()));
     b.order(Order::Withdraw(of));
     // Behind it, so that all before it has been gone through.
     let last = b.attempt(2);
-    b.order(Order::Forward(last.clone()));
+    b.order(Order::Attempt(last.clone()));
     b.until("the last begins", || last.begun.get());
     assert!(third.begun.get() && b.events.is_empty());
     let said = b.heard(&mut other, "fetch");
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -11,7 +11,7 @@
 use ironstair_mail::pool::Chain;
 use ironstair_mail::wait::next;
 use ironstair_mail::window::{Amendment, Request, Window};
-use ironstair_mail::{number, Event, Forward, Id, Order, Place, Reply, Shared, Taken};
+use ironstair_mail::{number, Attempt, Event, Id, Order, Place, Reply, Shared, Taken};
 use ironstair_recovery::stage::{stage, Facts};
 use ironstair_tree::state::{self, Counts, Snapshot};
 use slog::info;
@@ -36,7 +36,7 @@
     waits: Rc<Cell<bool>>,
     engine: Option<usize>,
     /// The attempt that is out.
-    out: Option<Rc<Forward>>,
+    out: Option<Rc<Attempt>>,
     /// The cells of that when it was forwarded there.
     cells: u64,
     /// Engines it was forwarded to: the module remembers them as long as it is held.
@@ -145,7 +145,7 @@
 }
 
 impl Hands {
-    /// A forward has ended; its tenant's move may be over with it.
+    /// An attempt has ended; its tenant's move may be over with it.
     fn left_its_cell(&mut self, submission: usize) {
         let (now, Some(h)) = (self.now, self.held.get(submission).and_then(Option::as_ref)) else { return };
         let (tenant, cells) = (h.tenant, Cells(h.cells));
@@ -166,7 +166,7 @@
 }
 
 impl Outlet for Hands {
-    fn forward(&mut self, submission: usize, engine: usize, by: Ms) {
+    fn attempt(&mut self, submission: usize, engine: usize, by: Ms) {
         let id = self.subs.id(submission);
         let cells = self.cells.as_ref().map_or(0, |k| k.engine(self.names.id(engine)).0);
         let known = self.engines.get(engine).and_then(Option::as_ref);
@@ -176,11 +176,11 @@
         h.met.push(engine);
         let (band, statement, once, waits) = (h.band, h.statement.clone(), h.once.clone(), h.waits.clone());
         let (priority, begun, by) = (Cell::new(h.priority), Cell::new(false), Cell::new(by));
-        let of = Forward { id, band, statement, once, priority, limit: h.limit, by, waits, standing, begun };
+        let of = Attempt { id, band, statement, once, priority, limit: h.limit, by, waits, standing, begun };
         let of = Rc::new(of);
         h.out = Some(of.clone());
         self.count(band).released += 1;
-        if !self.order(engine, Order::Forward(of)) {
+        if !self.order(engine, Order::Attempt(of)) {
             // Nobody is there to tell how it ended.
             let ended = Event::Ended { id, what: Outcome::Unsent, rows: None };
             let module = self.shared.module.clone();
@@ -349,7 +349,7 @@
     let _ = to.done.try_send(());
 }
 
-/// Engines and tenants go by other cells from now on. New forwards of what is open go where its tenant is now; what
+/// Engines and tenants go by other cells from now on. New attempts of what is open go where its tenant is now; what
 /// runs finishes where it is.
 fn move_tenants(gateway: &mut Gateway, hands: &mut Hands) {
     let Some(keeper) = &mut hands.cells else {
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -73,8 +73,8 @@
 
 /// To an engine's actor, from the module's and from the engine's own connections.
 pub enum Order {
-    Forward(Rc<Forward>),
-    Withdraw(Rc<Forward>),
+    Attempt(Rc<Attempt>),
+    Withdraw(Rc<Attempt>),
     Priority(Id, u8),
     Report,
     /// The engine's standing has changed: what has not begun may not begin any more.
@@ -89,7 +89,7 @@
 /// An attempt on its way. It begins when its first byte is written, not when it was decided: between the two lie
 /// mailboxes, connections that come up late and writes that a slow peer holds back. So the conditions under which
 /// it may still begin travel with it, and the owner of the connection looks at them right before the write.
-pub struct Forward {
+pub struct Attempt {
     pub id: Id,
     pub band: usize,
     pub statement: Rc<Chain>,
@@ -106,7 +106,7 @@
     pub begun: Cell<bool>,
 }
 
-impl Forward {
+impl Attempt {
     pub fn may_begin(&self, now: Ms) -> bool {
         now < self.by.get() && self.waits.get() && self.standing.get() == Standing::Ready
     }
--- a/crates/protocol/src/lines.rs
+++ b/crates/protocol/src/lines.rs
@@ -93,7 +93,7 @@
 }
 
 /// The line that a statement of `length` bytes follows, and then `END`.
-pub fn forward(
+pub fn attempt(
     to: &mut Vec<u8>,
     id: &str,
     band: &str,
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -93,7 +93,7 @@
 }
 
 impl Outlet for Pen<'_> {
-    fn forward(&mut self, submission: usize, engine: usize, _by: Ms) {
+    fn attempt(&mut self, submission: usize, engine: usize, _by: Ms) {
         self.about(67, submission);
         self.to.extend(self.engines.id(engine));
         self.to.extend(0u64.to_le_bytes());
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -89,7 +89,7 @@
 struct Hands(Vec<Act>);
 
 impl Outlet for Hands {
-    fn forward(&mut self, submission: usize, engine: usize, _by: Ms) {
+    fn attempt(&mut self, submission: usize, engine: usize, _by: Ms) {
         self.0.push(Act::Forward(submission, engine));
     }
     fn withdraw(&mut self, submission: usize, _nth: u8) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 pub trait Outlet {
     /// An attempt, whose first byte is written by the time `by` at the latest; an attempt that has not begun by
     /// then never begins, and its outcome is `Unsent`.
-    fn forward(&mut self, submission: usize, engine: usize, by: Ms);
+    fn attempt(&mut self, submission: usize, engine: usize, by: Ms);
     fn withdraw(&mut self, submission: usize, nth: u8);
     fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64);
     fn turn_back(&mut self, submission: usize, come_back: Ms);
@@ -77,7 +77,7 @@
     pub memory_mb: f64,
 }
 
-/// Further forwards: a few, and a share of the submissions taken in the span.
+/// Further attempts: a few, and a share of the submissions taken in the span.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ration {
     pub spare: f64,
@@ -179,7 +179,7 @@
     TimedOut,
     NoConnection,
     Reset,
-    /// Lost with a connection on another forward's account: it may have run, and says nothing of the engine.
+    /// Lost with a connection on another attempt's account: it may have run, and says nothing of the engine.
     Swept,
     Withdrawn,
     Unsent,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,7 +37,7 @@
 /// Outcomes by which an engine is judged, and how many of them may fail.
 const RECORD: u32 = 8;
 const BAD: u32 = 5;
-/// This many times its peers' pace is a fault of the engine, not of its load; of one forward, maybe a loss.
+/// This many times its peers' pace is a fault of the engine, not of its load; of one attempt, maybe a loss.
 const SLOW: f64 = 2.5;
 /// A set-aside engine first gets one small submission this often; each that goes well halves it.
 const TRICKLE: Ms = 1000.0;
@@ -104,7 +104,7 @@
 }
 
 #[derive(Clone, Copy, Default)]
-struct Forward {
+struct Attempt {
     engine: usize,
     sent: Ms,
     counted: (Ms, f64), // up to when, and to which share done, the engine's pace was counted
@@ -118,10 +118,10 @@
     open: bool,
     aim: Ms,
     limit: Ms,
-    forwards: u8,
-    under: Arc<Terms>, // as they were when it was taken, and the most forwards
+    attempts: u8,
+    under: Arc<Terms>, // as they were when it was taken, and the most attempts
     most: u8,
-    out: Option<Forward>,
+    out: Option<Attempt>,
     may_have_run: Vec<(usize, Ms)>,
     tried: Vec<usize>,
     lot: u64,
@@ -301,7 +301,7 @@
         self.due(now, out);
     }
 
-    /// From its next forward on, the submission goes to engines of these cells.
+    /// From its next attempt on, the submission goes to engines of these cells.
     pub fn confine(&mut self, sub: usize, cells: u64) {
         self.subs.iter_mut().skip(sub).take(1).for_each(|s| s.of.cells = cells);
     }
@@ -322,9 +322,9 @@
             // The last alone: an earlier one, sent at the same moment, may have run.
             s.may_have_run.pop();
         }
-        // The budget leaves out forwards that were never sent.
+        // The budget leaves out attempts that were never sent.
         let unsent = self.further.iter().rposition(|&t| t == fwd.sent).filter(|_| what == Outcome::Unsent);
-        unsent.filter(|_| s.forwards > 1).map(|i| self.further.remove(i));
+        unsent.filter(|_| s.attempts > 1).map(|i| self.further.remove(i));
         if matches!(what, Outcome::TimedOut | Outcome::Reset | Outcome::Swept | Outcome::Withdrawn) && keyed {
             self.keys.entry(s.of.key).or_default().1 = now + self.m.key_rest;
         }
@@ -368,10 +368,10 @@
             let (done, (then, before)) = (share.max(f.counted.1).min(1.0), f.counted);
             f.counted = (now, done);
             let (f, b, part) = (*f, s.of.band, (done - before) * s.work);
-            // Against a bad plan, drawn anew with the next forward: by its notes it would take so long.
+            // Against a bad plan, drawn anew with the next attempt: by its notes it would take so long.
             let (s, whole) = (&self.subs[sub], (now - f.sent) / done.max(NEARLY_NONE));
             if whole > 2.0 * SLOW * self.service(b, s.of.cells, s.work) && self.may_begin_anew(s) {
-                out.withdraw(sub, s.forwards - 1);
+                out.withdraw(sub, s.attempts - 1);
             } else {
                 self.learn(f.engine, b, (now - then) * self.m.bands[b].threads, part);
             }
@@ -399,7 +399,7 @@
 
     /// Its client has closed, or its own way alone: what is out may still be answered, nothing more begins.
     pub fn closed(&mut self, now: Ms, sub: usize, out: &mut dyn Outlet) {
-        self.subs[sub].most = self.subs[sub].forwards;
+        self.subs[sub].most = self.subs[sub].attempts;
         self.due(now, out);
     }
 
@@ -455,8 +455,8 @@
             let lost = overtaken && elapsed > 2.0 * SLOW * self.service(b, s.of.cells, s.work);
             let (again, late) = (lost && self.may_begin_anew(s), elapsed > within(&s.under, s.work));
             if again || late {
-                let (nth, spent) = (s.forwards - 1, (now - f.counted.0) * terms.threads);
-                self.subs[sub].out = Some(Forward { overdue: true, counted: (now, f.counted.1), ..f });
+                let (nth, spent) = (s.attempts - 1, (now - f.counted.0) * terms.threads);
+                self.subs[sub].out = Some(Attempt { overdue: true, counted: (now, f.counted.1), ..f });
                 if late {
                     self.engines[f.engine].judge(now, false);
                 }
@@ -514,7 +514,7 @@
         for b in order {
             for sub in self.firsts_in(b) {
                 if let Some(engine) = self.place(sub) {
-                    self.forward(sub, engine, out);
+                    self.attempt(sub, engine, out);
                     return true;
                 }
             }
@@ -595,15 +595,15 @@
         let s = &self.subs[sub];
         // Order per key, and rest after an outcome that leaves an engine perhaps still at it.
         let turn =
-            |k: &(VecDeque<usize>, Ms)| k.0.front() == Some(&sub) && (s.forwards > 0 || self.now >= k.1);
+            |k: &(VecDeque<usize>, Ms)| k.0.front() == Some(&sub) && (s.attempts > 0 || self.now >= k.1);
         self.may_forward_again(s)
-            && (s.forwards == 0 || self.rationed())
+            && (s.attempts == 0 || self.rationed())
             && (!self.keyed(sub) || self.now >= self.keys_from && self.keys.get(&s.of.key).is_none_or(turn))
     }
 
     fn may_forward_again(&self, s: &Taken) -> bool {
         let terms = &self.m.bands[s.of.band];
-        s.forwards < self.m.most_forwards.min(s.most)
+        s.attempts < self.m.most_forwards.min(s.most)
             && match terms.repeat {
                 Effect::NonIdempotent => s.may_have_run.is_empty(),
                 _ => self.now <= self.window_ends(s),
@@ -622,7 +622,7 @@
         ran.map(|r| r.1 + s.under.window.min(terms.window)).fold(f64::INFINITY, f64::min)
     }
 
-    /// Whether the budget has one more further forward, counted exactly over the window.
+    /// Whether the budget has one more further attempt, counted exactly over the window.
     fn rationed(&self) -> bool {
         let Some(r) = self.m.ration else { return true };
         let further = self.further.iter().filter(|&&t| t >= self.now - r.span).count() as f64;
@@ -733,7 +733,7 @@
     }
 
     // Against pushing over a cold engine: an even share of what all may send in any span. Among hundreds half
-    // of its part below one is a lot, drawn once for each span of a gateway's own. Any span meets two of them:
+    // of its part below one is a lot, drawn once for each span of a gateway's own. Any span meets two such:
     // all send what they may in the mean at most, stray by its root, and save up nothing for a burst.
     fn cold_room(&self, s: &Taken, e: &Engine) -> bool {
         let Some((share, recent)) = self.cold(e) else { return true };
@@ -792,7 +792,7 @@
         let s = &self.subs[sub];
         let mut order = self.order(s);
         let due = |i: &usize| self.engines[*i].aside.is_some_and(|a| a.0 <= self.now);
-        if let Some(i) = order.iter().find(|i| due(i) && s.forwards == 0 && !self.heavy(s.of.band)) {
+        if let Some(i) = order.iter().find(|i| due(i) && s.attempts == 0 && !self.heavy(s.of.band)) {
             return Some(*i);
         }
         // What was tried already comes last but for what is set aside.
@@ -806,14 +806,14 @@
             .or_else(|| rest.iter().copied().find(|&i| self.open(i, s)))
     }
 
-    fn forward(&mut self, sub: usize, engine: usize, out: &mut dyn Outlet) {
+    fn attempt(&mut self, sub: usize, engine: usize, out: &mut dyn Outlet) {
         let (now, s) = (self.now, &self.subs[sub]);
         let by = self.window_ends(s).min(s.limit).min(self.until);
         let s = &mut self.subs[sub];
-        let (b, memory, again) = (s.of.band, s.of.memory_mb, s.forwards > 0);
-        s.forwards += 1;
+        let (b, memory, again) = (s.of.band, s.of.memory_mb, s.attempts > 0);
+        s.attempts += 1;
         s.may_have_run.push((engine, now));
-        s.out = Some(Forward { engine, sent: now, counted: (now, 0.0), ..Default::default() });
+        s.out = Some(Attempt { engine, sent: now, counted: (now, 0.0), ..Default::default() });
         self.flying.push(sub);
         let threads = self.m.bands[b].threads;
         let band = &mut self.bands[b];
@@ -834,7 +834,7 @@
             let grant = if known { band.memory_of.of(memory, LITTLE, |spread| GRANT * spread) } else { 0.0 };
             out.terms(sub, self.priority(b), grant.min(least * self.m.most_grant));
         }
-        out.forward(sub, engine, by);
+        out.attempt(sub, engine, by);
     }
 
     /// Weights travel as priority: shares of scarce cores stand as 1 : 4 : 8 : 16.
@@ -859,14 +859,14 @@
         true
     }
 
-    /// The submission is over for its client; its index is free again once no forward is out.
+    /// The submission is over for its client; its index is free again once no attempt is out.
     fn close(&mut self, sub: usize, out: &mut dyn Outlet) {
         let s = &mut self.subs[sub];
         s.open = false;
         self.bands[s.of.band].line.retain(|&i| i != sub);
         if s.out.is_some() {
             if self.m.may_withdraw {
-                out.withdraw(sub, s.forwards - 1);
+                out.withdraw(sub, s.attempts - 1);
             }
             return;
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,14 +9,14 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Forward(usize, usize),
+    Attempt(usize, usize),
     TurnBack(usize, Ms),
     Scrap(usize),
     Probe(usize),
     Grant(f64),
     Note(String),
     Forget(usize),
-    /// The latest time at which the forward after it may begin.
+    /// The latest time at which the attempt after it may begin.
     By(Ms),
     Other(&'static str),
 }
@@ -25,9 +25,9 @@
 pub struct Sheet(pub Vec<Act>);
 
 impl Sheet {
-    pub fn forwards(&self) -> Vec<(usize, usize)> {
+    pub fn attempts(&self) -> Vec<(usize, usize)> {
         let sent = self.0.iter();
-        sent.filter_map(|a| if let Act::Forward(s, e) = a { Some((*s, *e)) } else { None }).collect()
+        sent.filter_map(|a| if let Act::Attempt(s, e) = a { Some((*s, *e)) } else { None }).collect()
     }
 }
 
@@ -38,8 +38,8 @@
 }
 
 impl Outlet for Sheet {
-    fn forward(&mut self, submission: usize, engine: usize, by: Ms) {
-        self.0.extend([Act::By(by), Act::Forward(submission, engine)]);
+    fn attempt(&mut self, submission: usize, engine: usize, by: Ms) {
+        self.0.extend([Act::By(by), Act::Attempt(submission, engine)]);
     }
     takes_down! {
         withdraw(_submission: usize, _nth: u8) Act::Other("withdraw");
@@ -151,7 +151,7 @@
 }
 
 pub struct Held {
-    /// The terms under which it was taken, and the most forwards.
+    /// The terms under which it was taken, and the most attempts.
     pub under: Terms,
     pub most: u8,
     pub of: Submission,
@@ -196,7 +196,7 @@
     /// Which rule an action breaks, if any; then takes note of it.
     pub fn sees(&mut self, now: Ms, act: &Act) -> Result<(), String> {
         match act {
-            Act::Forward(slot, engine) => self.forward(now, self.at[slot], *engine),
+            Act::Attempt(slot, engine) => self.attempt(now, self.at[slot], *engine),
             Act::TurnBack(slot, _) | Act::Scrap(slot) => {
                 let h = &self.held[self.at[slot]];
                 let again = [Effect::Idempotent, Effect::Deduplicated(Within::All)];
@@ -216,14 +216,14 @@
         }
     }
 
-    fn forward(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
+    fn attempt(&mut self, now: Ms, i: usize, engine: usize) -> Result<(), String> {
         let (h, line) = (&self.held[i], self.roster[&engine]);
         let (terms, under) = (&self.m.bands[h.of.band], &h.under);
         breaks!(h.of.cells != 0 && h.of.cells & line.cells == 0, "6: outside its cells");
         breaks!(under.closed, "a band out of service is forwarded");
-        breaks!(h.tries.len() >= h.most.min(self.m.most_forwards) as usize, "7: more forwards than allowed");
+        breaks!(h.tries.len() >= h.most.min(self.m.most_forwards) as usize, "7: more attempts than allowed");
         breaks!(h.over || now > h.taken + h.of.left, "1: sent after the end");
-        breaks!(h.tries.iter().any(|t| t.end.is_none()), "2: two forwards out");
+        breaks!(h.tries.iter().any(|t| t.end.is_none()), "2: two attempts out");
         for ran in h.tries.iter().filter(|t| t.may_have_run()) {
             let other = self.roster[&ran.engine];
             let same = match terms.repeat {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -32,7 +32,7 @@
 fn send(g: &mut Gateway, now: Ms, slot: usize, of: Submission) -> Vec<(usize, usize)> {
     let mut sheet = Sheet::default();
     g.take(now, slot, of, &mut sheet);
-    sheet.forwards()
+    sheet.attempts()
 }
 
 #[test]
@@ -71,7 +71,7 @@
     assert_eq!(send(&mut g, now, 21, ask(0, 100.0)).len(), 0, "the bound holds");
     let mut sheet = Sheet::default();
     g.outcome(now + 10.0, 10, Outcome::Settled(None), true, &mut sheet);
-    assert_eq!(sheet.forwards(), [(21, 0)], "band 1 was charged less, but fits nowhere");
+    assert_eq!(sheet.attempts(), [(21, 0)], "band 1 was charged less, but fits nowhere");
 }
 
 #[test]
@@ -85,7 +85,7 @@
     for i in 10..18 {
         g.outcome(now + 200.0, i, Outcome::Settled(None), true, &mut sheet);
     }
-    for (slot, _) in sheet.forwards() {
+    for (slot, _) in sheet.attempts() {
         first[slot % 2] += 1;
     }
     // Band 0 ran alone before, band 1 was idle: were that banked, band 1 would get every place.
@@ -118,13 +118,13 @@
     assert!(sheet.0.contains(&Act::TurnBack(0, 700.0)), "{:?}", sheet.0);
 }
 
-/// One submission after another until each is settled; `fate` says how long a forward takes and how it ends.
+/// One submission after another until each is settled; `fate` says how long an attempt takes and how it ends.
 fn serve(g: &mut Gateway, now: &mut Ms, n: u64, mut fate: impl FnMut(u64, usize) -> (Ms, Outcome)) -> String {
     let mut notes = String::new();
     for i in 0..n {
         let mut sheet = Sheet::default();
         g.take(*now, 0, Submission { tables: i % 9, ..ask(0, 100.0) }, &mut sheet);
-        while let Some((slot, engine)) = sheet.forwards().last().copied() {
+        while let Some((slot, engine)) = sheet.attempts().last().copied() {
             notes += &format!("{:?}", std::mem::take(&mut sheet.0));
             let (took, what) = fate(i, engine);
             *now += took;
@@ -188,7 +188,7 @@
         if repeat == Effect::Idempotent {
             let mut sheet = Sheet::default();
             g.outcome(now, 0, Outcome::Withdrawn, false, &mut sheet);
-            assert_eq!(sheet.forwards(), [(0, 0)], "late, but without pressure still worth a part");
+            assert_eq!(sheet.attempts(), [(0, 0)], "late, but without pressure still worth a part");
         }
         let wide = (2..40).map(|i| send(&mut g, now, i, of).len()).sum::<usize>();
         assert_eq!(wide, 38, "no pressure");
@@ -210,7 +210,7 @@
     let mut g = start(two_bands(), 1);
     let (now, mut sheet) = (press(&mut g, 0..8), Sheet::default());
     g.take(now, 9, Submission { left: 600.0, ..ask(0, 2000.0) }, &mut sheet);
-    assert_eq!(sheet.forwards(), [], "it would keep a jammed engine jammed");
+    assert_eq!(sheet.attempts(), [], "it would keep a jammed engine jammed");
     assert!(sheet.0.contains(&Act::TurnBack(9, 0.0)), "given up at once");
     (10..20).for_each(|i| drop(send(&mut g, now, i, ask(0, 100.0))));
     let short = Submission { left: 1000.0, ..ask(0, 100.0) };
@@ -250,12 +250,12 @@
     g.take(2.0, 9, Submission { left: 20_000.0, ..ask(1, 4000.0) }, &mut sheet);
     let asked = |s: &Sheet| s.0.iter().find_map(|a| if let Act::Probe(e) = a { Some(*e) } else { None });
     let first = asked(&sheet).expect("an engine is asked");
-    assert_eq!(sheet.forwards(), [], "nothing goes before one told of room");
+    assert_eq!(sheet.attempts(), [], "nothing goes before one told of room");
     let mut sheet = Sheet::default();
     g.report(3.0, first, &[0.4, 24.0], &mut sheet);
-    assert_eq!(sheet.forwards(), [], "idle cores, but three queries held for each: a line for memory");
+    assert_eq!(sheet.attempts(), [], "idle cores, but three queries held for each: a line for memory");
     g.report(4.0, first, &[0.4, 2.0], &mut sheet);
-    assert_eq!(sheet.forwards(), [(9, first)]);
+    assert_eq!(sheet.attempts(), [(9, first)]);
 }
 
 #[test]
@@ -284,13 +284,13 @@
         s.0.iter().filter_map(|a| if let Act::TurnBack(_, back) = a { Some(*back) } else { None }).collect()
     };
     let back = |s: &Sheet| advice(s).iter().filter(|b| (350.0..=700.0).contains(*b)).count();
-    assert_eq!((sheet.forwards().len(), back(&sheet)), (0, 21 - sent.len()), "{:?}", sheet.0);
+    assert_eq!((sheet.attempts().len(), back(&sheet)), (0, 21 - sent.len()), "{:?}", sheet.0);
     let (least, most) = advice(&sheet).iter().fold((700.0, 0.0), |a: (Ms, Ms), b| (a.0.min(*b), a.1.max(*b)));
     assert!(most - least > 100.0, "{:?}", advice(&sheet));
-    // A forward that is lost goes nowhere else: its client hears of it now.
+    // An attempt that is lost goes nowhere else: its client hears of it now.
     let mut sheet = Sheet::default();
     g.outcome(now + 101.0, sent[0], Outcome::Error, false, &mut sheet);
-    assert_eq!((sheet.forwards().len(), back(&sheet)), (0, 1), "{:?}", sheet.0);
+    assert_eq!((sheet.attempts().len(), back(&sheet)), (0, 1), "{:?}", sheet.0);
     g.tenure(now + 102.0, now + 200.0, &mut Sheet::default());
     assert_eq!(send(&mut g, now + 103.0, 30, ask(0, 100.0)).len(), 1, "it goes on with new tenure");
 }
@@ -306,9 +306,9 @@
     assert_eq!(send(&mut g, 11.0, 1, ask(0, 100.0)).len(), 1);
     let mut sheet = Sheet::default();
     g.due(499.0, &mut sheet);
-    assert_eq!(sheet.forwards(), []);
+    assert_eq!(sheet.attempts(), []);
     g.due(500.0, &mut sheet);
-    assert_eq!(sheet.forwards().len(), 1);
+    assert_eq!(sheet.attempts().len(), 1);
 }
 
 #[test]
@@ -319,21 +319,21 @@
     let mut g = start(m.clone(), 4);
     let mut sheet = Sheet::default();
     let mut fails = |g: &mut Gateway, now: Ms| {
-        let before = sheet.forwards().len();
+        let before = sheet.attempts().len();
         g.outcome(now, 0, Outcome::Error, false, &mut sheet);
-        sheet.forwards().len() - before
+        sheet.attempts().len() - before
     };
     send(&mut g, 1.0, 0, ask(0, 100.0));
     assert_eq!(fails(&mut g, 2.0), 1);
     m.ration = Some(Ration { spare: 1.0, share: 0.0, span: 2000.0 });
     g.amend(3.0, m.clone(), &mut Sheet::default());
-    assert_eq!(fails(&mut g, 4.0), 0, "one further forward is out of the span's one");
+    assert_eq!(fails(&mut g, 4.0), 0, "one further attempt is out of the span's one");
     m.ration = Some(Ration { spare: 2.0, share: 0.0, span: 2000.0 });
     let mut sheet = Sheet::default();
     g.amend(5.0, m, &mut sheet);
-    assert_eq!(sheet.forwards().len(), 1, "of the two the first one still counts");
+    assert_eq!(sheet.attempts().len(), 1, "of the two the first one still counts");
     g.outcome(6.0, 0, Outcome::Error, false, &mut sheet);
-    assert_eq!(sheet.forwards().len(), 1);
+    assert_eq!(sheet.attempts().len(), 1);
 }
 
 #[test]
@@ -350,7 +350,7 @@
     let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count();
     assert_eq!((backs(&sheet), sheet.0.contains(&Act::TurnBack(12, 0.0))), (1, true));
     g.outcome(now + 1.0, 0, Outcome::Settled(None), true, &mut sheet);
-    assert_eq!(sheet.forwards().len(), 1, "what waits goes on");
+    assert_eq!(sheet.attempts().len(), 1, "what waits goes on");
     m.bands[0].closed = false;
     g.amend(now + 2.0, m, &mut sheet);
     g.take(now + 2.0, 12, ask(0, 100.0), &mut sheet);
@@ -398,7 +398,7 @@
         let mut sheet = Sheet::default();
         g.amend(2.0, m, &mut sheet);
         g.outcome(500.0, 0, Outcome::Error, false, &mut sheet);
-        assert_eq!(sheet.forwards().len(), again, "{then} {now}");
+        assert_eq!(sheet.attempts().len(), again, "{then} {now}");
     }
 }
 
@@ -477,9 +477,9 @@
     g.roster(now, false, &[away], &mut Sheet::default());
     let mut sheet = Sheet::default();
     g.take(now, 200, within_cell(1, 900.0), &mut sheet);
-    assert_eq!((backs(&sheet), sheet.forwards().len()), (0, 0));
+    assert_eq!((backs(&sheet), sheet.attempts().len()), (0, 0));
     g.roster(now + 1.0, false, &[Listed { standing: Standing::Ready, ..away }], &mut sheet);
-    assert_eq!(sheet.forwards(), [(200, 1)]);
+    assert_eq!(sheet.attempts(), [(200, 1)]);
 }
 
 #[test]
@@ -489,9 +489,9 @@
     g.confine(0, 2);
     let mut sheet = Sheet::default();
     g.due(2.0, &mut sheet);
-    assert_eq!(sheet.forwards(), [], "what runs finishes where it is");
+    assert_eq!(sheet.attempts(), [], "what runs finishes where it is");
     g.outcome(3.0, 0, Outcome::Error, false, &mut sheet);
-    assert_eq!(sheet.forwards(), [(0, 1)]);
+    assert_eq!(sheet.attempts(), [(0, 1)]);
     g.confine(99, 1);
 }
 
@@ -589,7 +589,7 @@
 
 #[test]
 fn a_bad_plan_begins_anew_by_its_notes_and_slows_nobody() {
-    // Against forwards that take many times as long by a plan drawn anew for each: waited for, they hold an engine's
+    // Against attempts that take many times as long by a plan drawn anew for each: waited for, they hold an engine's
     // threads, miss their time and make it look jammed.
     for (may_withdraw, repeat) in
         [(true, Effect::Idempotent), (true, Effect::NonIdempotent), (false, Effect::Idempotent)]
@@ -616,7 +616,7 @@
             let mut sheet = Sheet::default();
             assert!(stretch(&g) <= was, "no pace of the engine");
             g.outcome(now + 1301.0, 2, Outcome::Withdrawn, false, &mut sheet);
-            assert_eq!(sheet.forwards().len(), 1);
+            assert_eq!(sheet.attempts().len(), 1);
         }
     }
 }
@@ -721,7 +721,7 @@
         g.closed(4.0, 0, &mut sheet);
         assert_eq!(sheet.0.contains(&ends), !out, "what is out may still be answered: {:?}", sheet.0);
         g.outcome(5.0, 0, Outcome::Error, false, &mut sheet);
-        assert!(sheet.0.contains(&ends) && sheet.forwards().iter().all(|f| f.0 != 0), "{:?}", sheet.0);
+        assert!(sheet.0.contains(&ends) && sheet.attempts().iter().all(|f| f.0 != 0), "{:?}", sheet.0);
     }
 }
 
@@ -770,7 +770,7 @@
                 let (mut sheet, fails) = (Sheet::default(), chance.lot().is_multiple_of(4));
                 let what = if fails { Outcome::Error } else { Outcome::Settled(None) };
                 g.outcome(at, slot, what, !fails, &mut sheet);
-                out.extend(sheet.forwards());
+                out.extend(sheet.attempts());
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -77,7 +77,7 @@
         for act in &sheet.0 {
             self.referee.sees(self.now, act)?;
             match act {
-                Act::Forward(s, _) => self.out.push(*s),
+                Act::Attempt(s, _) => self.out.push(*s),
                 Act::Forget(s) => self.free.push(*s),
                 _ => {}
             }
@@ -159,7 +159,7 @@
     }
 }
 
-/// The shapes of deployments: few gateways or hundreds; forwards that can't be withdrawn, before engines that do
+/// The shapes of deployments: few gateways or hundreds; attempts that can't be withdrawn, before engines that do
 /// not line up, with a once-only band in order by key and bound to a kind, which holds its tables.
 fn shape(kind: u8) -> Mandate {
     let mut m = motley();
@@ -188,16 +188,16 @@
 
 #[test]
 fn referee_catches_a_decider_that_breaks_each_rule() {
-    let fwd = |engine| Act::Forward(0, engine);
+    let fwd = |engine| Act::Attempt(0, engine);
     type Script<'a> = &'a [(u8, Act)];
     let cases: [(&str, Script); 7] = [
         ("1", &[(0, Act::Scrap(0)), (0, Act::Scrap(0))]),
-        ("2", &[(1, Act::Forward(0, 0)), (3, Act::Forward(0, 2))]),
-        ("3", &[(0, Act::Other("")), (6, Act::Forward(0, 0))]),
-        ("4", &[(9, Act::Forward(0, 0))]),
-        ("5", &[(0, Act::Other("")), (0, Act::Forward(1, 0))]),
-        ("6", &[(1, Act::Forward(0, 1))]),
-        ("7", &[(0, Act::Forward(0, 0)), (3, fwd(1)), (3, fwd(2)), (3, fwd(4)), (3, fwd(5))]),
+        ("2", &[(1, Act::Attempt(0, 0)), (3, Act::Attempt(0, 2))]),
+        ("3", &[(0, Act::Other("")), (6, Act::Attempt(0, 0))]),
+        ("4", &[(9, Act::Attempt(0, 0))]),
+        ("5", &[(0, Act::Other("")), (0, Act::Attempt(1, 0))]),
+        ("6", &[(1, Act::Attempt(0, 1))]),
+        ("7", &[(0, Act::Attempt(0, 0)), (3, fwd(1)), (3, fwd(2)), (3, fwd(4)), (3, fwd(5))]),
     ];
     for (rule, acts) in cases {
         let mut referee = Referee { m: motley(), ..Default::default() };
