--- a/crates/cells/src/keeper.rs
+++ b/crates/cells/src/keeper.rs
@@ -114,7 +114,7 @@
     fn a_move_is_over_with_the_last_forward_where_the_tenant_was() {
         let cells = ["a", "b", "c"].map(|c| (c.to_string(), 1.0));
         let first = Assignment::new(1, &cells, 1).unwrap().pin_tenant(7, Some(&["a"])).unwrap();
-        let keeper = |a: &Assignment| Keeper::new(a.clone(), Choice::TurnBack { come_back: 0.0 });
+        let keeper = |a: &Assignment| Keeper::new(a.clone(), Choice::Reject { come_back: 0.0 });
         let (a, b, c) = (Cells::one(0), Cells::one(1), Cells::one(2));
         let second = first.pin_tenant(7, Some(&["b"])).unwrap();
         let mut k = keeper(&second);
--- a/crates/cells/src/trouble.rs
+++ b/crates/cells/src/trouble.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Choice {
     /// Turned back at once, with the advice to come back after that time.
-    TurnBack { come_back: Ms },
+    Reject { come_back: Ms },
     /// Places elsewhere, for this share of what it sends.
     Lend { share: f64 },
 }
@@ -18,7 +18,7 @@
 pub enum Goes {
     /// To engines of these cells.
     To(Cells),
-    TurnedBack {
+    Rejected {
         come_back: Ms,
     },
 }
@@ -48,8 +48,8 @@
                 self.lent += 1.0;
                 Goes::To(elsewhere)
             }
-            Choice::Lend { .. } => Goes::TurnedBack { come_back: 0.0 },
-            Choice::TurnBack { come_back } => Goes::TurnedBack { come_back },
+            Choice::Lend { .. } => Goes::Rejected { come_back: 0.0 },
+            Choice::Reject { come_back } => Goes::Rejected { come_back },
         }
     }
 }
--- a/crates/cells/tests/assign.rs
+++ b/crates/cells/tests/assign.rs
@@ -82,9 +82,9 @@
     assert_eq!(lent.goes(0.0, own, all, all, lend), Goes::To(own));
     let went = (0..400).filter(|n| lent.goes(*n as f64, own, rest, all, lend) == Goes::To(rest)).count();
     assert!((90..=101).contains(&went), "{went} of 400, a quarter at most");
-    assert_eq!(lent.goes(400.0, own, Cells::default(), all, lend), Goes::TurnedBack { come_back: 0.0 });
-    let back = Choice::TurnBack { come_back: 500.0 };
-    assert_eq!(lent.goes(400.0, own, rest, all, back), Goes::TurnedBack { come_back: 500.0 });
+    assert_eq!(lent.goes(400.0, own, Cells::default(), all, lend), Goes::Rejected { come_back: 0.0 });
+    let back = Choice::Reject { come_back: 500.0 };
+    assert_eq!(lent.goes(400.0, own, rest, all, back), Goes::Rejected { come_back: 500.0 });
 }
 
 fn record(bad: u32) -> Record {
--- a/crates/change/src/document.rs
+++ b/crates/change/src/document.rs
@@ -197,7 +197,7 @@
         let choice = match (self.turn_back, self.lend) {
             (Some(_), Some(_)) => return Err(at("lend", &"either turn-back or lend")),
             (_, Some(share)) => Choice::Lend { share: share.get() },
-            (ms, None) => Choice::TurnBack { come_back: ms.unwrap_or(0) as f64 },
+            (ms, None) => Choice::Reject { come_back: ms.unwrap_or(0) as f64 },
         };
         Ok(Keeper::new(a, choice))
     }
--- a/crates/fleet/src/oracle.rs
+++ b/crates/fleet/src/oracle.rs
@@ -53,7 +53,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum What {
     Settled,
-    TurnedBack,
+    Rejected,
     Scrapped,
     Refused,
 }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -619,7 +619,7 @@
         let Some(told) = c.try_hear() else { return };
         let what = match told["error"]["code"].as_i64() {
             None => What::Settled,
-            Some(code) if code == stand::TURNED_BACK => What::TurnedBack,
+            Some(code) if code == stand::REJECTED => What::Rejected,
             Some(code) if code == stand::SCRAPPED => What::Scrapped,
             Some(_) => What::Refused,
         };
--- a/crates/fleet/src/stand.rs
+++ b/crates/fleet/src/stand.rs
@@ -273,7 +273,7 @@
 pub struct Client(pub BufReader<TcpStream>);
 
 /// What a call that was given up comes back with.
-pub const TURNED_BACK: i64 = -32014;
+pub const REJECTED: i64 = -32014;
 pub const SCRAPPED: i64 = -32002;
 
 impl Client {
--- a/crates/gateway/benches/calls.rs
+++ b/crates/gateway/benches/calls.rs
@@ -37,7 +37,7 @@
     }
     fn withdraw(&mut self, _: usize, _: u8) {}
     fn terms(&mut self, _: usize, _: u8, _: f64) {}
-    fn turn_back(&mut self, _: usize, _: Ms) {}
+    fn reject(&mut self, _: usize, _: Ms) {}
     fn scrap(&mut self, _: usize) {}
     fn subscribe(&mut self) {}
     fn probe(&mut self, _: usize) {}
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -294,7 +294,7 @@
     }
 
     fn no_room(&self, call: Option<u64>) {
-        self.plain(|m| rpc::error(m, call, rpc::TURNED_BACK, "turned back", 0.0));
+        self.plain(|m| rpc::error(m, call, rpc::REJECTED, "turned back", 0.0));
     }
 
     fn fault(&self, call: Option<u64>, code: i32) {
@@ -405,7 +405,7 @@
             out.clear();
             self.writing.set(true);
             let call = match &reply {
-                Reply::Settled(c, _) | Reply::TurnedBack(c, _) | Reply::Scrapped(c) | Reply::Unusable(c) => {
+                Reply::Settled(c, _) | Reply::Rejected(c, _) | Reply::Scrapped(c) | Reply::Unusable(c) => {
                     // Not for one that its client has taken back meanwhile.
                     if !self.open.borrow().contains_key(c) {
                         self.writing.set(false);
@@ -419,8 +419,8 @@
             let written = async {
                 match reply {
                     Reply::Settled(call, rows) => self.settled(stream, &mut out, call, rows).await?,
-                    Reply::TurnedBack(_, after) => {
-                        rpc::error(&mut out, call, rpc::TURNED_BACK, "turned back", after)
+                    Reply::Rejected(_, after) => {
+                        rpc::error(&mut out, call, rpc::REJECTED, "turned back", after)
                     }
                     Reply::Scrapped(_) => rpc::error(&mut out, call, rpc::SCRAPPED, "scrapped", 0.0),
                     Reply::Unusable(_) => rpc::error(&mut out, call, rpc::INVALID_FIELDS, "id in use", 0.0),
--- a/crates/gateway/src/module.rs
+++ b/crates/gateway/src/module.rs
@@ -209,9 +209,9 @@
             self.order(engine, Order::Priority(id, priority));
         }
     }
-    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+    fn reject(&mut self, submission: usize, come_back: Ms) {
         self.counted(submission, |c| c.turned_back += 1);
-        self.answer(submission, |call| Reply::TurnedBack(call, come_back));
+        self.answer(submission, |call| Reply::Rejected(call, come_back));
     }
     fn scrap(&mut self, submission: usize) {
         self.counted(submission, |c| c.scrapped += 1);
@@ -456,16 +456,16 @@
     }
     if hands.open >= hands.shared.carriage().most_open {
         // The bound on open submissions that the settings name: at the door, before it is the module's.
-        let _ = t.client.try_send(Reply::TurnedBack(t.call, 0.0));
+        let _ = t.client.try_send(Reply::Rejected(t.call, 0.0));
         return;
     }
     let (now, tenant) = (hands.now, t.tenant.unwrap_or(t.of.tables));
     let cells = match hands.cells.as_mut().map(|k| k.goes(now, tenant)) {
         None => 0,
         Some(Goes::To(cells)) => cells.0,
-        Some(Goes::TurnedBack { come_back }) => {
+        Some(Goes::Rejected { come_back }) => {
             // Its cells have no ready engine: at the door, as the operator chose.
-            let _ = t.client.try_send(Reply::TurnedBack(t.call, come_back));
+            let _ = t.client.try_send(Reply::Rejected(t.call, come_back));
             return;
         }
     };
--- a/crates/gateway/tests/crossings.rs
+++ b/crates/gateway/tests/crossings.rs
@@ -185,7 +185,7 @@
     assert!(soon(|| fetches(&seen) >= 1));
     c.0.get_ref().shutdown(Shutdown::Write).unwrap();
     let since = Instant::now();
-    assert_eq!(c.hear()["error"]["code"], TURNED_BACK);
+    assert_eq!(c.hear()["error"]["code"], REJECTED);
     assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
     assert_eq!(c.0.read(&mut [0; 1]).unwrap(), 0);
 }
@@ -204,7 +204,7 @@
     (77..).zip(&mut last).for_each(|(call, c)| ask(c, "lookup", call));
     g.signal("-TERM");
     for c in last.iter_mut().take(1) {
-        assert_eq!(c.hear()["error"]["code"], TURNED_BACK, "taken by the system, and answered");
+        assert_eq!(c.hear()["error"]["code"], REJECTED, "taken by the system, and answered");
     }
     busy.iter_mut().for_each(|c| assert!(c.try_hear().is_some()));
     assert!(g.process.wait().unwrap().success());
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -68,7 +68,7 @@
 fn case_1_two_of_five_are_down_at_a_change_and_come_back_during_and_after_it() {
     let mut rig = down_at_a_change("case-1", Plan::default());
     // Not a silent wait: its clients are answered at once.
-    rig.until_answers(What::TurnedBack, 50);
+    rig.until_answers(What::Rejected, 50);
     assert!(!rig.fit(4));
     rig.heal();
     all_hold(&rig, 2);
@@ -151,7 +151,7 @@
     let mut rig = cut_off_one_way("case-3", Plan::default());
     all_hold(&rig, 2);
     let answers = rig.over();
-    assert!(answers[&What::TurnedBack] > 0, "it was without a lease: {answers:?}");
+    assert!(answers[&What::Rejected] > 0, "it was without a lease: {answers:?}");
 }
 
 #[test]
@@ -304,7 +304,7 @@
 fn case_7_all_keepers_killed_at_once_one_wiped_one_with_an_old_disk_lose_nothing_decided() {
     let mut rig = wiped_and_old("case-7", Plan::default());
     // Two of three are no quorum here: one has no vote, and nobody decides.
-    rig.until_answers(What::TurnedBack, 100);
+    rig.until_answers(What::Rejected, 100);
     assert!((1..5).all(|g| !rig.fit(g)));
     rig.start(0);
     all_hold(&rig, 2);
@@ -418,7 +418,7 @@
     let mut rig = loaded("majority", Plan { steady: vec![4], ..Plan::default() });
     rig.kill(0);
     rig.kill(1);
-    (2..4).for_each(|g| rig.until_answers_of(g, What::TurnedBack, 20));
+    (2..4).for_each(|g| rig.until_answers_of(g, What::Rejected, 20));
     rig.until_answers_of(4, What::Settled, 100);
     assert!(rig.fit(4) && !rig.fit(3));
     let said = rig.set(3, &[FORWARDS, "5"]);
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -44,7 +44,7 @@
 #[test]
 fn case_2_most_keepers_disks_lost_nothing_is_decided_until_an_operator_begins_anew() {
     let mut rig = disks_lost("anew", &[0, 1]);
-    rig.until_answers(What::TurnedBack, 100);
+    rig.until_answers(What::Rejected, 100);
     assert!((0..rig.size()).all(|g| !rig.fit(g)));
     // Not by a first beginning: one disk knows better.
     let first = rig.cli(0, &["fleet", "begin"]);
@@ -98,7 +98,7 @@
 #[test]
 fn case_2_all_disks_lost_and_a_disk_of_another_gateway() {
     let mut rig = disks_lost("nothing-left", &[0, 1, 2]);
-    rig.until_answers(What::TurnedBack, 50);
+    rig.until_answers(What::Rejected, 50);
     let anew = rig.cli(1, &["fleet", "begin-anew"]);
     well(&anew);
     assert!(anew.out.contains("what this gateway was told at start"), "{anew:?}");
--- a/crates/mail/src/lib.rs
+++ b/crates/mail/src/lib.rs
@@ -63,7 +63,7 @@
 /// To a front, about one of its calls: one final answer for each.
 pub enum Reply {
     Settled(u64, Chain),
-    TurnedBack(u64, Ms),
+    Rejected(u64, Ms),
     Scrapped(u64),
     /// Taken under an id that is in use.
     Unusable(u64),
--- a/crates/protocol/src/rpc.rs
+++ b/crates/protocol/src/rpc.rs
@@ -9,7 +9,7 @@
 /// The longest message that is taken in.
 pub const MESSAGE_MOST: usize = 256 * 1024;
 
-pub const TURNED_BACK: i32 = -32014;
+pub const REJECTED: i32 = -32014;
 pub const SCRAPPED: i32 = -32002;
 pub const UNREADABLE: i32 = -32700;
 pub const INVALID: i32 = -32600;
--- a/crates/protocol/tests/parsers.rs
+++ b/crates/protocol/tests/parsers.rs
@@ -64,7 +64,7 @@
         assert!(Reader::new(&out[head..]).skip(0).is_some());
     }
     let mut out = Vec::new();
-    rpc::error(&mut out, Some(7), rpc::TURNED_BACK, "turned back", 200.0);
+    rpc::error(&mut out, Some(7), rpc::REJECTED, "turned back", 200.0);
     assert!(out.ends_with(br#""id":7,"error":{"code":-32014,"message":"turned back","data":{"after":200}}}"#));
 }
 
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -107,7 +107,7 @@
         self.to.push(priority);
         self.to.extend((grant_mb as f32).to_le_bytes());
     }
-    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+    fn reject(&mut self, submission: usize, come_back: Ms) {
         self.about(77, submission);
         self.to.extend(ns(come_back).to_le_bytes());
     }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -79,7 +79,7 @@
 enum Act {
     Forward(usize, usize),
     Withdraw(usize),
-    TurnBack(usize, Ms),
+    Reject(usize, Ms),
     Scrap(usize),
     Wake(Ms),
     Forget(usize),
@@ -96,8 +96,8 @@
         self.0.push(Act::Withdraw(submission));
     }
     fn terms(&mut self, _submission: usize, _priority: u8, _grant_mb: f64) {}
-    fn turn_back(&mut self, submission: usize, come_back: Ms) {
-        self.0.push(Act::TurnBack(submission, come_back));
+    fn reject(&mut self, submission: usize, come_back: Ms) {
+        self.0.push(Act::Reject(submission, come_back));
     }
     fn scrap(&mut self, submission: usize) {
         self.0.push(Act::Scrap(submission));
@@ -294,7 +294,7 @@
                     self.after(WAY, Event::Withdraws(asker, engine));
                 }
             }
-            Act::TurnBack(slot, advice) => self.answered(g, slot, Some(advice)),
+            Act::Reject(slot, advice) => self.answered(g, slot, Some(advice)),
             Act::Scrap(slot) => self.answered(g, slot, None),
             Act::Wake(ms) => {
                 let gate = &mut self.gates[g];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
     fn attempt(&mut self, submission: usize, engine: usize, by: Ms);
     fn withdraw(&mut self, submission: usize, nth: u8);
     fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64);
-    fn turn_back(&mut self, submission: usize, come_back: Ms);
+    fn reject(&mut self, submission: usize, come_back: Ms);
     fn scrap(&mut self, submission: usize);
     fn subscribe(&mut self);
     /// Asks an engine how it is; what it reports comes by `Gateway::report`.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -185,7 +185,7 @@
     Gateway::set_aside,
     Gateway::probe,
     Gateway::release,
-    Gateway::turn_back,
+    Gateway::reject,
     Gateway::wake,
 ];
 
@@ -522,7 +522,7 @@
         false
     }
 
-    fn turn_back(&mut self, out: &mut dyn Outlet) -> bool {
+    fn reject(&mut self, out: &mut dyn Outlet) -> bool {
         for b in 0..self.bands.len() {
             let line = &self.bands[b].line;
             let hopeless = |i: &usize| {
@@ -852,7 +852,7 @@
             _ => s.may_have_run.is_empty(),
         };
         match harmless {
-            true => out.turn_back(sub, come_back),
+            true => out.reject(sub, come_back),
             false => out.scrap(sub),
         }
         self.close(sub, out);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
     Attempt(usize, usize),
-    TurnBack(usize, Ms),
+    Reject(usize, Ms),
     Scrap(usize),
     Probe(usize),
     Grant(f64),
@@ -44,7 +44,7 @@
     takes_down! {
         withdraw(_submission: usize, _nth: u8) Act::Other("withdraw");
         terms(_submission: usize, _priority: u8, grant_mb: f64) Act::Grant(grant_mb);
-        turn_back(submission: usize, come_back: Ms) Act::TurnBack(submission, come_back);
+        reject(submission: usize, come_back: Ms) Act::Reject(submission, come_back);
         scrap(submission: usize) Act::Scrap(submission);
         subscribe() Act::Other("subscribe");
         probe(engine: usize) Act::Probe(engine);
@@ -197,14 +197,14 @@
     pub fn sees(&mut self, now: Ms, act: &Act) -> Result<(), String> {
         match act {
             Act::Attempt(slot, engine) => self.attempt(now, self.at[slot], *engine),
-            Act::TurnBack(slot, _) | Act::Scrap(slot) => {
+            Act::Reject(slot, _) | Act::Scrap(slot) => {
                 let h = &self.held[self.at[slot]];
                 let again = [Effect::Idempotent, Effect::Deduplicated(Within::All)];
                 let ok = again.contains(&self.m.bands[h.of.band].repeat)
                     || !h.tries.iter().any(|t| t.may_have_run());
                 breaks!(h.over, "1: two final answers");
                 breaks!(now > h.taken + h.of.left, "1: answer after the hard limit");
-                breaks!(matches!(act, Act::TurnBack(..)) && !ok, "2: turned back though it may have run");
+                breaks!(matches!(act, Act::Reject(..)) && !ok, "2: turned back though it may have run");
                 self.held[self.at[slot]].over = true;
                 Ok(())
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -115,7 +115,7 @@
     let mut sheet = Sheet::default();
     g.take(0.0, 0, ask(0, 100.0), &mut sheet);
     g.due(650.0, &mut sheet);
-    assert!(sheet.0.contains(&Act::TurnBack(0, 700.0)), "{:?}", sheet.0);
+    assert!(sheet.0.contains(&Act::Reject(0, 700.0)), "{:?}", sheet.0);
 }
 
 /// One submission after another until each is settled; `fate` says how long an attempt takes and how it ends.
@@ -211,13 +211,13 @@
     let (now, mut sheet) = (press(&mut g, 0..8), Sheet::default());
     g.take(now, 9, Submission { left: 600.0, ..ask(0, 2000.0) }, &mut sheet);
     assert_eq!(sheet.attempts(), [], "it would keep a jammed engine jammed");
-    assert!(sheet.0.contains(&Act::TurnBack(9, 0.0)), "given up at once");
+    assert!(sheet.0.contains(&Act::Reject(9, 0.0)), "given up at once");
     (10..20).for_each(|i| drop(send(&mut g, now, i, ask(0, 100.0))));
     let short = Submission { left: 1000.0, ..ask(0, 100.0) };
     g.take(now, 20, short, &mut sheet);
     g.take(now + 5.0, 21, Submission { later_try: true, ..short }, &mut sheet);
-    assert!(!sheet.0.contains(&Act::TurnBack(20, 0.0)), "a first try with little time waits");
-    assert!(sheet.0.contains(&Act::TurnBack(21, 0.0)), "a later try has had its expected time");
+    assert!(!sheet.0.contains(&Act::Reject(20, 0.0)), "a first try with little time waits");
+    assert!(sheet.0.contains(&Act::Reject(21, 0.0)), "a later try has had its expected time");
 }
 
 // Rule 4 among hundreds: shares of less than one submission, traffic ten times as heavy at some, nearly all
@@ -264,9 +264,9 @@
     assert_eq!(send(&mut g, 1.0, 0, Submission { left: 20_000.0, ..ask(1, 4000.0) }).len(), 1);
     let mut sheet = Sheet::default();
     g.ending(2.0, 3000.0, &mut sheet);
-    assert_eq!(sheet.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count(), 0, "not before it must");
+    assert_eq!(sheet.0.iter().filter(|a| matches!(a, Act::Reject(..))).count(), 0, "not before it must");
     g.due(2995.0, &mut sheet);
-    assert!(sheet.0.contains(&Act::TurnBack(0, 0.0)), "{:?}", sheet.0);
+    assert!(sheet.0.contains(&Act::Reject(0, 0.0)), "{:?}", sheet.0);
 }
 
 #[test]
@@ -281,7 +281,7 @@
     g.take(now + 100.0, 20, ask(0, 100.0), &mut sheet);
     // Spread: against all that waited coming back in one moment.
     let advice = |s: &Sheet| -> Vec<Ms> {
-        s.0.iter().filter_map(|a| if let Act::TurnBack(_, back) = a { Some(*back) } else { None }).collect()
+        s.0.iter().filter_map(|a| if let Act::Reject(_, back) = a { Some(*back) } else { None }).collect()
     };
     let back = |s: &Sheet| advice(s).iter().filter(|b| (350.0..=700.0).contains(*b)).count();
     assert_eq!((sheet.attempts().len(), back(&sheet)), (0, 21 - sent.len()), "{:?}", sheet.0);
@@ -347,8 +347,8 @@
     let mut sheet = Sheet::default();
     g.amend(now, m.clone(), &mut sheet);
     g.take(now, 12, ask(0, 100.0), &mut sheet);
-    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count();
-    assert_eq!((backs(&sheet), sheet.0.contains(&Act::TurnBack(12, 0.0))), (1, true));
+    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::Reject(..))).count();
+    assert_eq!((backs(&sheet), sheet.0.contains(&Act::Reject(12, 0.0))), (1, true));
     g.outcome(now + 1.0, 0, Outcome::Settled(None), true, &mut sheet);
     assert_eq!(sheet.attempts().len(), 1, "what waits goes on");
     m.bands[0].closed = false;
@@ -468,7 +468,7 @@
     m.bands[0].expected_stretch = 0.5;
     let mut g = two_cells(m);
     let now = press_one(&mut g);
-    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::TurnBack(..))).count();
+    let backs = |s: &Sheet| s.0.iter().filter(|a| matches!(a, Act::Reject(..))).count();
     let mut sheet = Sheet::default();
     (0..200).for_each(|i| g.take(now, i, within_cell(0, 100.0), &mut sheet));
     assert!(backs(&sheet) > 50, "a line of its own is full");
@@ -630,10 +630,10 @@
     (10..20).for_each(|i| drop(send(&mut g, now, i, ask(0, 100.0))));
     let mut sheet = Sheet::default();
     g.take(now, 20, Submission { left: 1500.0, ..ask(0, 100.0) }, &mut sheet);
-    assert!(sheet.0.contains(&Act::TurnBack(20, 0.0)), "1.5 s of 3 are gone, wanted within 0.7");
+    assert!(sheet.0.contains(&Act::Reject(20, 0.0)), "1.5 s of 3 are gone, wanted within 0.7");
     g.take(now, 21, Submission { left: 2900.0, ..ask(0, 100.0) }, &mut sheet);
     g.take(now, 22, Submission { left: 600.0, ..ask(0, 100.0) }, &mut sheet);
-    assert!(!sheet.0.contains(&Act::TurnBack(21, 0.0)) && !sheet.0.contains(&Act::TurnBack(22, 0.0)));
+    assert!(!sheet.0.contains(&Act::Reject(21, 0.0)) && !sheet.0.contains(&Act::Reject(22, 0.0)));
 }
 
 #[test]
@@ -709,7 +709,7 @@
 
 #[test]
 fn for_a_client_that_has_closed_its_way_nothing_more_begins() {
-    for (out, ends) in [(false, Act::TurnBack(0, 0.0)), (true, Act::Scrap(0))] {
+    for (out, ends) in [(false, Act::Reject(0, 0.0)), (true, Act::Scrap(0))] {
         let mut g = start(mandate(vec![band(1.0, 1.0, Effect::NonIdempotent)]), 2);
         if !out {
             // Full everywhere: what comes waits.
