--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -93,7 +93,7 @@
 }
 
 impl Outlet for Pen<'_> {
-    fn forward(&mut self, submission: usize, engine: usize, _by: Ms) {
+    fn attempt(&mut self, submission: usize, engine: usize, _by: Ms) {
         self.about(67, submission);
         self.to.extend(self.engines.id(engine));
         self.to.extend(0u64.to_le_bytes());
@@ -107,7 +107,7 @@
         self.to.push(priority);
         self.to.extend((grant_mb as f32).to_le_bytes());
     }
-    fn turn_back(&mut self, submission: usize, come_back: Ms) {
+    fn reject(&mut self, submission: usize, come_back: Ms) {
         self.about(77, submission);
         self.to.extend(ns(come_back).to_le_bytes());
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,10 +15,10 @@
 pub trait Outlet {
     /// An attempt, whose first byte is written by the time `by` at the latest; an attempt that has not begun by
     /// then never begins, and its outcome is `Unsent`.
-    fn forward(&mut self, submission: usize, engine: usize, by: Ms);
+    fn attempt(&mut self, submission: usize, engine: usize, by: Ms);
     fn withdraw(&mut self, submission: usize, nth: u8);
     fn terms(&mut self, submission: usize, priority: u8, grant_mb: f64);
-    fn turn_back(&mut self, submission: usize, come_back: Ms);
+    fn reject(&mut self, submission: usize, come_back: Ms);
     fn scrap(&mut self, submission: usize);
     fn subscribe(&mut self);
     /// Asks an engine how it is; what it reports comes by `Gateway::report`.
@@ -30,11 +30,11 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Repeat {
-    Repeatable,
-    Tagged(Within),
+pub enum Effect {
+    Idempotent,
+    Deduplicated(Within),
     #[default]
-    OnceOnly,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +52,7 @@
     pub expected_stretch: f64,
     pub payoff: f64,
     pub threads: f64,
-    pub repeat: Repeat,
+    pub repeat: Effect,
     pub window: Ms,
     pub in_order: bool,
     /// Holds its table group on its engine while it runs.
@@ -77,7 +77,7 @@
     pub memory_mb: f64,
 }
 
-/// Further forwards: a few, and a share of the submissions taken in the span.
+/// Further attempts: a few, and a share of the submissions taken in the span.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ration {
     pub spare: f64,
@@ -179,7 +179,7 @@
     TimedOut,
     NoConnection,
     Reset,
-    /// Lost with a connection on another forward's account: it may have run, and says nothing of the engine.
+    /// Lost with a connection on another attempt's account: it may have run, and says nothing of the engine.
     Swept,
     Withdrawn,
     Unsent,
