--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -43,12 +43,14 @@
 const MEMORY_MOST: f64 = 1e8;
 const TRIES_MOST: f64 = 1e4;
 
+type Waits = Rc<Cell<bool>>;
+
 struct Client {
     shared: Rc<Shared>,
     place: Place,
     own: Sender<Reply>,
     /// With what tells the owners of its attempts, ahead of any mailbox, that it waits no more.
-    open: RefCell<BTreeMap<u64, (Id, Rc<Cell<bool>>)>>,
+    open: RefCell<BTreeMap<u64, (Id, Waits)>>,
     writing: Cell<bool>,
     faults: Cell<u32>,
 }
@@ -63,7 +65,10 @@
         if how.is_err_and(|kind| kind != io::ErrorKind::ConnectionAborted) {
             // Where the next message begins, or which call an answer is for, is not known any more.
             client.give_up().await;
-            let quiet = async { Ok(client.quiet().await) };
+            let quiet = async {
+                client.quiet().await;
+                Ok(())
+            };
             let _ = within(LAST_WORD, quiet).await;
         }
         Ok(())
@@ -121,7 +126,7 @@
     async fn closed(&self) {
         let soon = time(&self.shared.clock, Some(self.shared.clock.now() + CLOSED_BEGINS));
         or(self.quiet(), soon).await;
-        let open: Vec<(Id, Rc<Cell<bool>>)> = self.open.borrow().values().cloned().collect();
+        let open: Vec<(Id, Waits)> = self.open.borrow().values().cloned().collect();
         open.iter().for_each(|(_, waits)| waits.set(false));
         for (id, _) in open {
             let _ = self.shared.module.send(Event::Closed(id, self.own.clone())).await;
