A client that leaves while it is not read; a withdrawal that a full mailbox does not swallow

What was read after the end had been seen behind it was still sent on, up to the whole time later (client.rs, call()). Now it is rejected.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -53,13 +53,15 @@
     open: RefCell<BTreeMap<u64, (Id, Waits)>>,
     writing: Cell<bool>,
     faults: Cell<u32>,
+    /// When the end of the client's way was seen behind what is not read yet.
+    ended: Cell<Option<Ms>>,
 }
 
 pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, place: Place) {
     let _ = stream.get_ref().set_nodelay(true);
     let (own, replies) = async_channel::bounded(MAILBOX);
-    let (open, writing, faults) = (RefCell::default(), Cell::new(false), Cell::new(0));
-    let client = Client { shared, place, own, open, writing, faults };
+    let (open, writing, faults, ended) = Default::default();
+    let client = Client { shared, place, own, open, writing, faults, ended };
     let read = async {
         let how = client.read(&stream).await.map_err(|e| e.kind());
         if how.is_err_and(|kind| kind != io::ErrorKind::ConnectionAborted) {
@@ -143,6 +145,7 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             if ended {
+                self.ended.set(self.ended.get().or(Some(self.shared.clock.now())));
                 self.closed().await;
                 return pending().await;
             }
@@ -328,8 +331,8 @@
             self.plain(|m| rpc::fit(m, call, !self.place.of.begun() && self.shared.in_tenure()));
             return Ok(None);
         }
-        if self.place.of.closing() {
-            // Sent on now, it might not end before the process does.
+        if self.place.of.closing() || self.ended.get().is_some_and(|since| at - since > CLOSED_BEGINS) {
+            // Sent on now, it might not end before the process does, or would begin long after its client closed.
             self.no_room(Some(call));
             return Ok(None);
         }
--- a/crates/gateway/src/module_tests.rs
+++ b/crates/gateway/src/module_tests.rs
@@ -6,10 +6,7 @@
 use slog::{o, Discard, Logger};
 use std::cell::RefCell;
 
-#[test]
-fn an_event_that_overtakes_a_wake_up_does_not_leave_the_next_one_out() {
-    // Against a quiet gateway that sleeps past the hard limits: a wake-up that is due already finds nothing
-    // due yet, and the module, which has asked for a later one, asks for no more.
+fn hands() -> Hands {
     let reports = Vec::new();
     let (connect_within, idle, streams, most_open, longest) = (250.0, 3e4, 32, 100, 5000.0);
     let shared = Rc::new(Shared {
@@ -34,10 +31,59 @@
         module: async_channel::bounded(1).0,
         executor: Rc::new(LocalExecutor::new()),
     });
-    let mut hands = Hands::new(shared, None);
+    Hands::new(shared, None)
+}
+
+#[test]
+fn an_event_that_overtakes_a_wake_up_does_not_leave_the_next_one_out() {
+    // Against a quiet gateway that sleeps past the hard limits: a wake-up that is due already finds nothing
+    // due yet, and the module, which has asked for a later one, asks for no more.
+    let mut hands = hands();
     hands.now = 10.0;
     hands.wake(5.0);
     hands.now = 16.0;
     hands.wake(5.0);
     assert_eq!(hands.wake, Some(21.0));
 }
+
+#[test]
+fn a_full_mailbox_swallows_no_withdrawal() {
+    let mut hands = hands();
+    let (orders, mailbox) = async_channel::bounded(2);
+    let place = Place {
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: 0,
+        kind: 0,
+        marks: 0,
+        standing: Standing::Ready,
+        since: 0.0,
+    };
+    let (connections, standing) = (Rc::default(), Rc::new(Cell::new(Standing::Ready)));
+    let known = Known { name: "e1".into(), place, orders: Some(orders.clone()), connections, standing };
+    hands.engines.push(Some(known));
+    let submission = hands.subs.admit(*b"0000000000000001");
+    hands.held.push(Some(Held {
+        call: 1,
+        band: 0,
+        at: 0.0,
+        tenant: 0,
+        limit: 5000.0,
+        statement: Rc::default(),
+        once: None,
+        priority: None,
+        client: None,
+        waits: Rc::new(Cell::new(true)),
+        engine: None,
+        out: None,
+        cells: 0,
+        met: Vec::new(),
+    }));
+    hands.attempt(submission, 0, 5000.0);
+    orders.try_send(Order::Report).map_err(|_| "full").unwrap();
+    hands.withdraw(submission, 0);
+    let Ok(Order::Attempt(of)) = mailbox.try_recv() else { panic!("the attempt is there") };
+    assert!(!of.may_begin(0.0), "withdrawn where it lies, ahead of the order");
+    assert!(matches!(mailbox.try_recv(), Ok(Order::Report)));
+    while hands.shared.executor.try_tick() {}
+    assert!(matches!(mailbox.try_recv(), Ok(Order::Withdraw(w)) if Rc::ptr_eq(&w, &of)));
+}
--- a/crates/gateway/tests/crossings.rs
+++ b/crates/gateway/tests/crossings.rs
@@ -190,6 +190,38 @@
     assert_eq!(c.0.read(&mut [0; 1]).unwrap(), 0);
 }
 
+#[test]
+fn a_client_that_leaves_while_it_is_not_read_has_nothing_more_begun() {
+    // Another client's requests hold over half of the buffers: what this one says then is not read, and its end lies
+    // behind that.
+    let (at, gate) = Gate::shut();
+    let g = patient("unread", &[("e1", at)], |told| {
+        told["limits"] = json!({"memory_mb": 1, "sockets": 64});
+    });
+    let (mut c, mut hog) = (Client::of(&g), Client::of(&g));
+    (1..=4).for_each(|call| ask(&mut c, "lookup", call));
+    heard(&mut c);
+    let call = |id: u64| {
+        let fields = format!(r#""id":"{id:016x}","wait":7000,"bytes":"c2VsZWN0IDE=""#);
+        framed(&format!(r#"{{"jsonrpc":"2.0","id":{id},"method":"lookup","params":{{{fields}}}}}"#))
+    };
+    let check = framed(r#"{"jsonrpc":"2.0","id":9000,"method":"check"}"#);
+    let all: String = (100..130).map(call).chain([check]).collect();
+    // In one piece, so that it is read whatever it holds then.
+    hog.0.get_mut().write_all(all.as_bytes()).unwrap();
+    while hog.hear()["id"] != 9000 {}
+    (5..=9).for_each(|call| ask(&mut c, "lookup", call));
+    c.0.get_ref().shutdown(Shutdown::Write).unwrap();
+    thread::sleep(Duration::from_millis(200));
+    let opened = gate.open(good);
+    (0..30).for_each(|_| assert!(hog.rows().0 >= 100));
+    // To its end: all that it sent has been read by then.
+    let _ = c.0.read_to_end(&mut Vec::new());
+    let seen = opened.seen.lock().unwrap();
+    let of = |l: &&String| l.starts_with("fetch 000000000000000");
+    assert_eq!(seen.iter().filter(of).count(), 0, "{seen:?}");
+}
+
 #[test]
 fn what_the_system_has_accepted_is_answered_before_the_gateway_ends() {
     // All places are taken by requests that nobody answers, one connection more has come in and waits for one.
