--- a/crates/fleet/src/stand.rs
+++ b/crates/fleet/src/stand.rs
@@ -51,6 +51,14 @@
         (at, Gate { listener, fills })
     }
 
+    /// Until so many connections are on their way here, by the system's own table.
+    pub fn until_kept_back(&self, connections: usize) {
+        let port = self.listener.local_addr().unwrap().port();
+        let sent = format!(":{port:04X} 02 ");
+        let on_their_way = || std::fs::read_to_string("/proc/net/tcp").unwrap().matches(&sent).count();
+        assert!(soon(|| on_their_way() >= connections), "{} on their way", on_their_way());
+    }
+
     /// From now on an engine.
     pub fn open(self, act: impl Fn(&str, &str) -> (Vec<u8>, bool) + Send + Sync + 'static) -> Opened {
         let (seen, _fills) = (Seen::default(), self.fills);
--- a/crates/gateway/tests/crossings.rs
+++ b/crates/gateway/tests/crossings.rs
@@ -70,7 +70,7 @@
         let g = patient(&format!("left-{nth}"), &[("e1", at)], |_| {});
         let mut c = Client::of(&g);
         (1..=8).for_each(|call| ask(&mut c, "lookup", call));
-        heard(&mut c);
+        gate.until_kept_back(8);
         leave(c);
         // What a client that has closed may still begin, it may within a tenth of a second.
         thread::sleep(Duration::from_millis(100));
@@ -93,7 +93,7 @@
     let g = patient("window", &[("e1", first), ("e2", late)], |_| {});
     let mut c = Client::of(&g);
     (1..=8).for_each(|call| ask(&mut c, "stow", call));
-    assert!(soon(|| fetches(&seen) >= 2));
+    gate.until_kept_back(8);
     assert!(seen.lock().unwrap()[0].contains(",i=o"), "the word by which it is known goes along");
     thread::sleep(Duration::from_millis(600));
     let opened = gate.open(good);
@@ -114,7 +114,7 @@
     let g = patient("drains", &[("e1", late)], |_| {});
     let mut c = Client::of(&g);
     (1..=8).for_each(|call| ask(&mut c, "post", call));
-    heard(&mut c);
+    gate.until_kept_back(8);
     *g.roster.lock().unwrap() = answer(2, &[("e1", late, 1), ("e2", other, 0)]);
     // The list is known once something is answered.
     let mut told = Client::of(&g);
@@ -200,7 +200,7 @@
     });
     let (mut c, mut hog) = (Client::of(&g), Client::of(&g));
     (1..=4).for_each(|call| ask(&mut c, "lookup", call));
-    heard(&mut c);
+    gate.until_kept_back(4);
     let call = |id: u64| {
         let fields = format!(r#""id":"{id:016x}","wait":7000,"bytes":"c2VsZWN0IDE=""#);
         framed(&format!(r#"{{"jsonrpc":"2.0","id":{id},"method":"lookup","params":{{{fields}}}}}"#))
