--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -43,27 +43,34 @@
 const MEMORY_MOST: f64 = 1e8;
 const TRIES_MOST: f64 = 1e4;
 
+type Waits = Rc<Cell<bool>>;
+
 struct Client {
     shared: Rc<Shared>,
     place: Place,
     own: Sender<Reply>,
     /// With what tells the owners of its attempts, ahead of any mailbox, that it waits no more.
-    open: RefCell<BTreeMap<u64, (Id, Rc<Cell<bool>>)>>,
+    open: RefCell<BTreeMap<u64, (Id, Waits)>>,
     writing: Cell<bool>,
     faults: Cell<u32>,
+    /// When the end of the client's way was seen behind what is not read yet.
+    ended: Cell<Option<Ms>>,
 }
 
 pub async fn serve(stream: Async<TcpStream>, shared: Rc<Shared>, place: Place) {
     let _ = stream.get_ref().set_nodelay(true);
     let (own, replies) = async_channel::bounded(MAILBOX);
-    let (open, writing, faults) = (RefCell::default(), Cell::new(false), Cell::new(0));
-    let client = Client { shared, place, own, open, writing, faults };
+    let (open, writing, faults, ended) = Default::default();
+    let client = Client { shared, place, own, open, writing, faults, ended };
     let read = async {
         let how = client.read(&stream).await.map_err(|e| e.kind());
         if how.is_err_and(|kind| kind != io::ErrorKind::ConnectionAborted) {
             // Where the next message begins, or which call an answer is for, is not known any more.
             client.give_up().await;
-            let quiet = async { Ok(client.quiet().await) };
+            let quiet = async {
+                client.quiet().await;
+                Ok(())
+            };
             let _ = within(LAST_WORD, quiet).await;
         }
         Ok(())
@@ -121,7 +128,7 @@
     async fn closed(&self) {
         let soon = time(&self.shared.clock, Some(self.shared.clock.now() + CLOSED_BEGINS));
         or(self.quiet(), soon).await;
-        let open: Vec<(Id, Rc<Cell<bool>>)> = self.open.borrow().values().cloned().collect();
+        let open: Vec<(Id, Waits)> = self.open.borrow().values().cloned().collect();
         open.iter().for_each(|(_, waits)| waits.set(false));
         for (id, _) in open {
             let _ = self.shared.module.send(Event::Closed(id, self.own.clone())).await;
@@ -138,6 +145,7 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             if ended {
+                self.ended.set(self.ended.get().or(Some(self.shared.clock.now())));
                 self.closed().await;
                 return pending().await;
             }
@@ -323,8 +331,8 @@
             self.plain(|m| rpc::fit(m, call, !self.place.of.begun() && self.shared.in_tenure()));
             return Ok(None);
         }
-        if self.place.of.closing() {
-            // Sent on now, it might not end before the process does.
+        if self.place.of.closing() || self.ended.get().is_some_and(|since| at - since > CLOSED_BEGINS) {
+            // Sent on now, it might not end before the process does, or would begin long after its client closed.
             self.no_room(Some(call));
             return Ok(None);
         }
