Review: a result is put together from two runs of a statement

Adds the second case: an engine no longer knows one page of a result and answers BROKE for it; the gateway sends the request again on the same connection, and takes a later page of the first run for the second run's. The client is told "served" with rows that no run made.

--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and checks of the three cases: `stand CASE ROOT FOLDER`.
 
 mod case1;
+mod case2;
 mod common;
 
 use common::{Record, TemporaryFolder};
@@ -47,6 +48,7 @@
     ));
     let verdict = match case.as_str() {
         "1" => case1::run(&setting),
+        "2" => case2::run(&setting),
         _ => Verdict::CouldNotRun,
     };
     let (status, text) = match verdict {
