Review: drains go unheard after a restart with a recovery folder

Adds the third case: a gateway with a recovery folder is killed and started again. The platform numbers the events of discovery from 1 at each start, the folder keeps the old number, and the gateway drops the new list and every event up to that number: an engine that drains goes on getting new requests.

--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -2,6 +2,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod common;
 
 use common::{Record, TemporaryFolder};
@@ -49,6 +50,7 @@
     let verdict = match case.as_str() {
         "1" => case1::run(&setting),
         "2" => case2::run(&setting),
+        "3" => case3::run(&setting),
         _ => Verdict::CouldNotRun,
     };
     let (status, text) = match verdict {
