Review: the third case shows what a drain unheard of costs

A load that may run once only and that went to the engine after its drain was told is lost with the engine's end. The check stays that of the drain rule.

--- a/review/stand/case3.rs
+++ b/review/stand/case3.rs
@@ -20,31 +20,41 @@
  "known":{},
  "settings":{{
   "classes":[
-   {{"name":"lookup","slo_ns":1000000000,"aim_stretch":1.5,"give_up_ns":5000000000,"semantics":"pure","worth":1,"window_ns":5000000000}}],
+   {{"name":"lookup","slo_ns":1000000000,"aim_stretch":1.5,"give_up_ns":5000000000,"semantics":"pure","worth":1,"window_ns":5000000000}},
+   {{"name":"load","slo_ns":2000000000,"aim_stretch":1.5,"give_up_ns":5000000000,"semantics":"side_effect","worth":4,"window_ns":5000000000}}],
   "fleet_size":1,"dcs":["room-a"],"machine_types":["std-16"],
   "registry_mode":"automatic","resolution_ns":5000000,"callers":{{"marks_retry":true}},
-  "family_info":{{"size_cores":[16],"ram_of_kind_mb":[32768],"threads_by_class":[1],"lanes_count":true,"cost_in_answers":true,"when_short":"line_up","largest_share":0.4}},
+  "family_info":{{"size_cores":[16],"ram_of_kind_mb":[32768],"threads_by_class":[1,1],"lanes_count":true,"cost_in_answers":true,"when_short":"line_up","largest_share":0.4}},
   "guarantees":{{"answer_slack_ns":20000000,"cold_from":0.34,"warm_after_ns":15000000000,"overload_factor":4,"fall_ns":1000000000,"drain_grace_ns":2000000000}},
   "policy_limits":{{"max_attempts":6,"max_open":20000,"may_cancel":true,"connect_timeout_ns":250000000,"keepalive_ns":30000000000,"multiplex":32,"max_retry_after_ns":500000000,"second_copies":false}}}}}}"#,
         list.known()
     )
 }
 
-/// An engine that answers after 20 ms, and notes when each request began to arrive.
-fn engine(
-    name: &'static str,
-    record: Record,
-    fetches: Arc<Mutex<Vec<(&'static str, u64)>>>,
-) -> SocketAddr {
+/// What the engines have seen.
+#[derive(Default)]
+struct Seen {
+    /// When each request began to arrive, and at which engine.
+    fetches: Vec<(&'static str, u64)>,
+    /// The connections of e1, which end with its process.
+    links: Vec<EngineLink>,
+}
+
+/// An engine that answers a lookup after 20 ms and a load after 300 ms, and notes when each request arrived.
+fn engine(name: &'static str, record: Record, seen: Arc<Mutex<Seen>>) -> SocketAddr {
     start_engine(
         || {},
         move |link, command| {
-            if let EngineCommand::Fetch { id, .. } = command {
-                record.line(&format!("engine {name} fetch {id}"));
-                fetches.lock().unwrap().push((name, record.now()));
+            if let EngineCommand::Fetch { id, class } = command {
+                record.line(&format!("engine {name} fetch {id} {class}"));
+                let mut seen = seen.lock().unwrap();
+                seen.fetches.push((name, record.now()));
+                if name == "e1" {
+                    seen.links.push(link.clone());
+                }
                 let link = link.clone();
                 std::thread::spawn(move || {
-                    sleep_ms(20);
+                    sleep_ms(if class == "load" { 300 } else { 20 });
                     link.answer(
                         &id,
                         "DONE",
@@ -57,11 +67,27 @@
     )
 }
 
-/// Sends `count` requests of different table groups, 20 a second; returns how many were served.
-fn send(setting: &Setting, listen: SocketAddr, first_id: u64, count: u64) -> u64 {
+/// The class of a request: every second one is a load, which may run once only.
+fn class_of(id: u64) -> &'static str {
+    if id % 2 == 0 {
+        "load"
+    } else {
+        "lookup"
+    }
+}
+
+/// Sends `count` requests of different table groups, 20 a second, then calls `after` and waits for the answers;
+/// returns how many were served, and how many loads failed.
+fn send(
+    setting: &Setting,
+    listen: SocketAddr,
+    first_id: u64,
+    count: u64,
+    after: impl FnOnce(),
+) -> (u64, u64) {
     let record = &setting.record;
     let Ok(client) = Client::connect(listen, record) else {
-        return 0;
+        return (0, 0);
     };
     for number in 1..=count {
         let id = first_id + number;
@@ -71,12 +97,14 @@
         );
         client.send(
             number,
-            "lookup",
+            class_of(id),
             &params(id, WAIT, 20.0, statement.as_bytes()),
         );
         sleep_ms(50);
     }
+    after();
     let mut served = 0;
+    let mut failed_loads = 0;
     for number in 1..=count {
         let answer = client.wait(number, WAIT + 500);
         let id = first_id + number;
@@ -86,8 +114,10 @@
             None => format!("client {id:016x} no answer"),
         });
         served += u64::from(matches!(answer, Some(Answer::Served(_))));
+        let has_failed = matches!(answer, Some(Answer::Error(code)) if code != -32014);
+        failed_loads += u64::from(has_failed && class_of(id) == "load");
     }
-    served
+    (served, failed_loads)
 }
 
 fn wait_until_told(list: &Mutex<List>) -> Option<u64> {
@@ -102,9 +132,9 @@
 
 pub fn run(setting: &Setting) -> Verdict {
     let record = &setting.record;
-    let fetches: Arc<Mutex<Vec<(&'static str, u64)>>> = Arc::default();
+    let seen: Arc<Mutex<Seen>> = Arc::default();
     let start = |name| {
-        let address = engine(name, record.clone(), fetches.clone());
+        let address = engine(name, record.clone(), seen.clone());
         Listed {
             name,
             zone: "room-a",
@@ -156,7 +186,7 @@
         }
         sleep_ms(700);
     }
-    if send(setting, listen, 0x1000, 20) != 20 {
+    if send(setting, listen, 0x1000, 20, || {}).0 != 20 {
         record.line("requests before the disruption were not served");
         return Verdict::CouldNotRun;
     }
@@ -179,7 +209,7 @@
             return Verdict::CouldNotRun;
         }
     }
-    if send(setting, listen, 0x2000, 20) != 20 {
+    if send(setting, listen, 0x2000, 20, || {}).0 != 20 {
         record.line("requests before the drain were not served");
         return Verdict::CouldNotRun;
     }
@@ -189,10 +219,19 @@
     let Some(told_at) = wait_until_told(&list) else {
         return Verdict::CouldNotRun;
     };
-    let served = send(setting, listen, 0x3000, (GRACE + WATCHED) / 50);
-    let late: Vec<u64> = fetches
+    // At the end of its drain the process of e1 ends, with whatever it still holds.
+    let end_of_e1 = || {
+        record.line("e1 ends");
+        for link in &seen.lock().unwrap().links {
+            link.end();
+        }
+    };
+    let count = (GRACE + WATCHED) / 50;
+    let (served, failed) = send(setting, listen, 0x3000, count, end_of_e1);
+    let late: Vec<u64> = seen
         .lock()
         .unwrap()
+        .fetches
         .iter()
         .filter(|(name, at)| *name == "e1" && *at > told_at + GRACE)
         .map(|(_, at)| at - told_at)
@@ -203,7 +242,7 @@
         }
     }
     record.line(&format!(
-        "count  served {served}; new requests to e1 over {GRACE} ms after the gateway was told that it drains: {}, the last {} ms after",
+        "count  sent {count}, served {served}, loads that failed as e1 ended {failed}; new requests to e1 over {GRACE} ms after the gateway was told that it drains: {}, the last {} ms after",
         late.len(),
         late.last().unwrap_or(&0)
     ));
--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -328,6 +328,11 @@
 }
 
 impl EngineLink {
+    /// Ends the connection, as the end of the engine's process does.
+    pub fn end(&self) {
+        let _ = self.stream.lock().unwrap().shutdown(Shutdown::Both);
+    }
+
     pub fn answer(&self, id: &str, word: &str, fields: &str, body: &str) -> bool {
         let text = format!("{id} {word} {fields} {}\r\n{body}\r\n", body.len());
         self.stream
