--- a/review/stand/case1.rs
+++ b/review/stand/case1.rs
@@ -146,9 +146,14 @@
     /// Returns how many were served, refused or failed, and lost.
     fn judge(&self, record: &Record) -> (u64, u64, u64) {
         let (mut served, mut ended, mut lost) = (0, 0, 0);
-        for (connection, calls) in self.sent.iter().enumerate() {
-            for (number, (id, at)) in calls.iter().enumerate() {
-                let call = number as u64 + 1;
+        let mut calls: Vec<(usize, u64, u64, u64)> = Vec::new();
+        for (connection, sent) in self.sent.iter().enumerate() {
+            let numbered = (1..).zip(sent);
+            calls.extend(numbered.map(|(call, (id, at))| (connection, call, *id, *at)));
+        }
+        calls.sort_by_key(|(_, _, _, at)| *at);
+        for (connection, call, id, at) in calls {
+            {
                 let until = at + self.wait + LATE;
                 let answer =
                     self.clients[connection].wait(call, until.saturating_sub(record.now()));
@@ -169,6 +174,7 @@
                     }
                     (_, told) => {
                         lost += 1;
+                        self.clients[connection].interrupt(call);
                         format!("LOST: no answer within its {} ms and {LATE} ms more (answered: {told:?})", self.wait)
                     }
                 };
@@ -199,14 +205,12 @@
         engines: vec![listed("e1", "c8", first), listed("e2", "c12", second)],
         told_at: None,
     }));
-    let names = start_name_service(list.clone(), record.clone());
+    let names = start_name_service(list.clone(), "n0", record.clone());
     let listen: SocketAddr = ([127, 0, 0, 1], free_port()).into();
     let path = setting.temporary.join("config.json");
     let text = config(listen, names, &list.lock().unwrap());
     std::fs::write(&path, text).expect("the configuration can be written");
-    let log = setting.temporary.join("gateway.log");
-    let mut gateway = GatewayProcess::start(&setting.root, &path, "", &log);
-    *setting.gateway_pid.lock().unwrap() = Some(gateway.pid());
+    let mut gateway = GatewayProcess::start(&setting.root, &setting.temporary, &path, "");
     if !wait_until_fit(&mut gateway, listen, record) {
         record.line("gateway did not become fit");
         return Verdict::CouldNotRun;
--- a/review/stand/case2.rs
+++ b/review/stand/case2.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-const REQUESTS: u64 = 12;
-/// Of so many requests, the first run of one loses a page.
-const ONE_IN: u64 = 3;
+/// The site's `error_rate` is 0.002 at most: of so many requests, one meets the disruption.
+const REQUESTS: u64 = 500;
+const DISRUPTED: u64 = 250;
 const WAIT: u64 = 5_000;
 /// The times in ms after which the engine has run a statement, and has read a page.
-const RUN_TIME: u64 = 20;
-const PAGE_TIME: u64 = 60;
+const RUN_TIME: u64 = 10;
+const PAGE_TIME: u64 = 40;
 const PAGES: usize = 3;
 
 fn config(listen: SocketAddr, names: SocketAddr, list: &List) -> String {
@@ -68,7 +68,7 @@
                     let run = runs.lock().unwrap().get(&id).copied().unwrap_or(0);
                     record.line(&format!("engine more {id} {page}, of run {run}"));
                     let number = u64::from_str_radix(&id, 16).unwrap_or(0);
-                    let is_unknown = trouble() && number % ONE_IN == 0 && run == 1 && page == 1;
+                    let is_unknown = trouble() && number == DISRUPTED && run == 1 && page == 1;
                     if is_unknown {
                         record.line(&format!(
                             "disruption: engine no longer knows page 1 of {id}, run 1: BROKE"
@@ -110,14 +110,12 @@
         }],
         told_at: None,
     }));
-    let names = start_name_service(list.clone(), record.clone());
+    let names = start_name_service(list.clone(), "n0", record.clone());
     let listen: SocketAddr = ([127, 0, 0, 1], free_port()).into();
     let path = setting.temporary.join("config.json");
     let text = config(listen, names, &list.lock().unwrap());
     std::fs::write(&path, text).expect("the configuration can be written");
-    let log = setting.temporary.join("gateway.log");
-    let mut gateway = GatewayProcess::start(&setting.root, &path, "", &log);
-    *setting.gateway_pid.lock().unwrap() = Some(gateway.pid());
+    let mut gateway = GatewayProcess::start(&setting.root, &setting.temporary, &path, "");
     if !wait_until_fit(&mut gateway, listen, record) {
         record.line("gateway did not become fit");
         return Verdict::CouldNotRun;
@@ -128,7 +126,7 @@
     let mut served = 0;
     let mut mixed = 0;
     for number in 1..=REQUESTS {
-        let id = number + ONE_IN - 1;
+        let id = number;
         record.line(&format!("client sent {id:016x}, call {number}"));
         let statement = b"select account, note, amount from ledger_17.entries";
         client.send(number, "lookup", &params(id, WAIT, 20.0, statement));
@@ -167,7 +165,6 @@
             Some(Answer::Error(code)) => record.line(&format!("client {id:016x} error {code}")),
             None => record.line(&format!("client {id:016x} no answer")),
         }
-        sleep_ms(100);
     }
     record.line(&format!(
         "count  sent {REQUESTS}, served {served}, with rows that no run made {mixed}"
--- a/review/stand/case3.rs
+++ b/review/stand/case3.rs
@@ -13,16 +13,21 @@
 /// How long the engine is watched after that, in ms.
 const WATCHED: u64 = 6_000;
 
-fn config(listen: SocketAddr, names: SocketAddr, seed: u64, list: &List) -> String {
+/// The gateways of the deployment; n0 is the one that is killed.
+const GATEWAYS: usize = 3;
+/// How long n0 is down, in ms; the brief names 1.5 to 7.4 s.
+const DOWN: u64 = 1_500;
+
+fn config(name: &str, listen: SocketAddr, names: SocketAddr, seed: u64, list: &List) -> String {
     format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"{seed:016x}","names":"{names}",
+        r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:016x}","names":"{names}",
  "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "known":{},
  "settings":{{
   "classes":[
    {{"name":"lookup","slo_ns":1000000000,"aim_stretch":1.5,"give_up_ns":5000000000,"semantics":"pure","worth":1,"window_ns":5000000000}},
    {{"name":"load","slo_ns":2000000000,"aim_stretch":1.5,"give_up_ns":5000000000,"semantics":"side_effect","worth":4,"window_ns":5000000000}}],
-  "fleet_size":1,"dcs":["room-a"],"machine_types":["std-16"],
+  "fleet_size":{GATEWAYS},"dcs":["room-a"],"machine_types":["std-16"],
   "registry_mode":"automatic","resolution_ns":5000000,"callers":{{"marks_retry":true}},
   "family_info":{{"size_cores":[16],"ram_of_kind_mb":[32768],"threads_by_class":[1,1],"lanes_count":true,"cost_in_answers":true,"when_short":"line_up","largest_share":0.4}},
   "guarantees":{{"answer_slack_ns":20000000,"cold_from":0.34,"warm_after_ns":15000000000,"overload_factor":4,"fall_ns":1000000000,"drain_grace_ns":2000000000}},
@@ -154,7 +159,34 @@
         engines: both.clone(),
         told_at: None,
     }));
-    let names = start_name_service(list.clone(), record.clone());
+    // The other gateways, each with a name service of its own, serve on and have no clients here.
+    let mut others = Vec::new();
+    for number in 1..GATEWAYS {
+        let name = format!("n{number}");
+        let list = Arc::new(Mutex::new(List {
+            serial: 1,
+            engines: both.clone(),
+            told_at: None,
+        }));
+        let names = start_name_service(list.clone(), &name, record.clone());
+        let listen: SocketAddr = ([127, 0, 0, 1], free_port()).into();
+        let path = setting.temporary.join(format!("{name}.json"));
+        let text = config(&name, listen, names, number as u64, &list.lock().unwrap());
+        std::fs::write(&path, text).expect("the configuration can be written");
+        let mut gateway = GatewayProcess::start(&setting.root, &setting.temporary, &path, "");
+        if !wait_until_fit(&mut gateway, listen, record) {
+            record.line("another gateway did not become fit");
+            return Verdict::CouldNotRun;
+        }
+        others.push((list, gateway));
+    }
+    let change = |engines: Vec<Listed>| {
+        list.lock().unwrap().change(engines.clone());
+        for (list, _) in &others {
+            list.lock().unwrap().change(engines.clone());
+        }
+    };
+    let names = start_name_service(list.clone(), "n0", record.clone());
     let listen: SocketAddr = ([127, 0, 0, 1], free_port()).into();
     let path = setting.temporary.join("config.json");
     let operator = setting.temporary.join("operator.json");
@@ -162,14 +194,12 @@
     let section = format!("{{\"recovery\":{{\"state\":\"{}\"}}}}", state.display());
     std::fs::write(&operator, section).expect("the operator's file can be written");
     let arguments = format!("--operator {}", operator.display());
-    let log = setting.temporary.join("gateway.log");
     let write_config = |seed, list: &List| {
-        std::fs::write(&path, config(listen, names, seed, list))
+        std::fs::write(&path, config("n0", listen, names, seed, list))
             .expect("the configuration can be written");
     };
     write_config(0x8c1f30d27a5be964, &list.lock().unwrap());
-    let mut gateway = GatewayProcess::start(&setting.root, &path, &arguments, &log);
-    *setting.gateway_pid.lock().unwrap() = Some(gateway.pid());
+    let mut gateway = GatewayProcess::start(&setting.root, &setting.temporary, &path, &arguments);
     if !wait_until_fit(&mut gateway, listen, record) || wait_until_told(&list).is_none() {
         record.line("gateway did not become fit");
         return Verdict::CouldNotRun;
@@ -180,7 +210,7 @@
         vec![first.clone(), second.clone(), drained(&third)],
         both.clone(),
     ] {
-        list.lock().unwrap().change(engines);
+        change(engines);
         if wait_until_told(&list).is_none() {
             return Verdict::CouldNotRun;
         }
@@ -192,9 +222,11 @@
     }
 
     if trouble() {
-        record.line("disruption: the gateway is killed, and started again after 1 s");
+        record.line(
+            "disruption: n0, one of three gateways, is killed, and started again after 1.5 s",
+        );
         gateway.kill();
-        sleep_ms(1000);
+        sleep_ms(DOWN);
         // The platform numbers the events from 1 again, and writes what it knows now into the configuration.
         *list.lock().unwrap() = List {
             serial: 1,
@@ -202,8 +234,7 @@
             told_at: None,
         };
         write_config(0x51d2a7c3904be816, &list.lock().unwrap());
-        gateway = GatewayProcess::start(&setting.root, &path, &arguments, &log);
-        *setting.gateway_pid.lock().unwrap() = Some(gateway.pid());
+        gateway = GatewayProcess::start(&setting.root, &setting.temporary, &path, &arguments);
         if !wait_until_fit(&mut gateway, listen, record) || wait_until_told(&list).is_none() {
             record.line("gateway did not become fit again");
             return Verdict::CouldNotRun;
@@ -213,9 +244,7 @@
         record.line("requests before the drain were not served");
         return Verdict::CouldNotRun;
     }
-    list.lock()
-        .unwrap()
-        .change(vec![drained(&first), second.clone()]);
+    change(vec![drained(&first), second.clone()]);
     let Some(told_at) = wait_until_told(&list) else {
         return Verdict::CouldNotRun;
     };
@@ -236,7 +265,7 @@
         .filter(|(name, at)| *name == "e1" && *at > told_at + GRACE)
         .map(|(_, at)| at - told_at)
         .collect();
-    if let Ok(log) = std::fs::read_to_string(&log) {
+    if let Ok(log) = std::fs::read_to_string(setting.temporary.join("gateway.log")) {
         for line in log.lines().filter(|line| line.contains("snapshot")) {
             record.line(&format!("log    {line}"));
         }
--- a/review/stand/common.rs
+++ b/review/stand/common.rs
@@ -19,7 +19,8 @@
 
 impl Record {
     pub fn create(path: &Path) -> Record {
-        let file = File::create(path).expect("record.txt can be written");
+        let file = File::options().create(true).append(true).open(path);
+        let file = file.expect("record.txt can be written");
         Record {
             file: Arc::new(Mutex::new(file)),
             start: Instant::now(),
@@ -73,14 +74,18 @@
     }
 }
 
-/// A gateway, started with the deploy file's `run`. It is killed when this is dropped.
+/// A gateway, started with the deploy file's `run`. It is killed when this is dropped, and by its guard if this process
+/// ends in any other way.
 pub struct GatewayProcess {
     child: Child,
+    /// A shell that waits for a line. Without one, at the end of this process, it kills the gateway and removes the
+    /// temporary folder.
+    guard: Child,
 }
 
 impl GatewayProcess {
-    /// `arguments` are appended to the command; the log goes to `log`.
-    pub fn start(root: &Path, config: &Path, arguments: &str, log: &Path) -> GatewayProcess {
+    /// `arguments` are appended to the command; the log goes to `gateway.log` in the temporary folder.
+    pub fn start(root: &Path, temporary: &Path, config: &Path, arguments: &str) -> GatewayProcess {
         let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml"));
         let deploy = deploy.expect("deploy/balancer.toml can be read");
         let run = deploy
@@ -90,7 +95,7 @@
         let log = File::options()
             .create(true)
             .append(true)
-            .open(log)
+            .open(temporary.join("gateway.log"))
             .expect("the log can be written");
         let child = Command::new("/bin/sh")
             .args(["-c", &format!("{run} {arguments}")])
@@ -101,12 +106,29 @@
             .stderr(log)
             .spawn()
             .expect("the gateway can be started");
-        GatewayProcess { child }
+        let guard = Command::new("/bin/sh")
+            .args([
+                "-c",
+                "read -r line || { kill -9 \"$1\"; rm -rf \"$2\"; }",
+                "guard",
+            ])
+            .arg(child.id().to_string())
+            .arg(temporary)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the gateway's guard can be started");
+        GatewayProcess { child, guard }
     }
 
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if let Some(mut line) = self.guard.stdin.take() {
+            let _ = line.write_all(b"ended\n");
+        }
+        let _ = self.guard.wait();
     }
 
     pub fn has_ended(&mut self) -> bool {
@@ -258,6 +280,15 @@
         (&self.stream).write_all(message.as_bytes()).is_ok()
     }
 
+    /// Says that the client has stopped waiting for a call.
+    pub fn interrupt(&self, call: u64) {
+        let body = format!(
+            "{{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{{\"id\":{call}}}}}"
+        );
+        let message = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+        let _ = (&self.stream).write_all(message.as_bytes());
+    }
+
     /// Reads what was received so far.
     pub fn received<T>(&self, read: impl FnOnce(&Received) -> T) -> T {
         read(&self.received.0.lock().unwrap())
@@ -531,8 +562,9 @@
     message
 }
 
-/// Starts a name service that answers with the list. It notes when each event was first told.
-pub fn start_name_service(list: Arc<Mutex<List>>, record: Record) -> SocketAddr {
+/// Starts the name service of a gateway, which answers with the list. It notes when each event was first told.
+pub fn start_name_service(list: Arc<Mutex<List>>, gateway: &str, record: Record) -> SocketAddr {
+    let gateway = gateway.to_owned();
     let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = socket.local_addr().unwrap();
     thread::spawn(move || {
@@ -554,7 +586,7 @@
                     })
                     .collect();
                 record.line(&format!(
-                    "told   event {}: {}",
+                    "told   {gateway} event {}: {}",
                     list.serial,
                     engines.join(", ")
                 ));
@@ -564,22 +596,12 @@
     address
 }
 
-/// Ends the process with status 2 if the case takes longer than it may.
-pub fn start_watchdog(record: Record, gateway_pid: Arc<Mutex<Option<u32>>>) {
+/// Ends the process with status 2 if the case takes longer than it may; the guards end the gateways.
+pub fn start_watchdog(record: Record, temporary: PathBuf) {
     thread::spawn(move || {
         sleep_ms(110_000);
         record.line("result the case took too long");
-        if let Some(pid) = *gateway_pid.lock().unwrap() {
-            let _ = Command::new("/bin/sh")
-                .args(["-c", &format!("kill -9 {pid}")])
-                .status();
-        }
+        let _ = std::fs::remove_dir_all(temporary);
         std::process::exit(2);
     });
 }
-
-impl GatewayProcess {
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-}
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -1,4 +1,4 @@
-//! The stand-ins and checks of the three cases: `stand CASE ROOT FOLDER`.
+//! The stand-ins and checks of the three cases: `stand CASE ROOT RECORD`.
 
 mod case1;
 mod case2;
@@ -6,17 +6,14 @@
 mod common;
 
 use common::{Record, TemporaryFolder};
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::{Path, PathBuf};
 
 /// What a case needs of its surroundings.
 pub struct Setting {
     pub root: PathBuf,
-    pub folder: PathBuf,
     pub temporary: PathBuf,
     pub record: Record,
-    /// The process id of the gateway that runs now.
-    pub gateway_pid: Arc<Mutex<Option<u32>>>,
 }
 
 /// How a case ended.
@@ -28,31 +25,29 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, root, folder] = &arguments[..] else {
-        eprintln!("usage: stand CASE ROOT FOLDER");
+    let [_, case, root, record] = &arguments[..] else {
+        eprintln!("usage: stand CASE ROOT RECORD");
         std::process::exit(2);
     };
-    let folder = PathBuf::from(folder);
-    let record = Record::create(&folder.join("record.txt"));
+    let record = Record::create(Path::new(record));
     let temporary = TemporaryFolder::create();
     let setting = Setting {
         root: root.into(),
-        folder,
         temporary: temporary.0.clone(),
         record: record.clone(),
-        gateway_pid: Arc::default(),
     };
-    common::start_watchdog(record.clone(), setting.gateway_pid.clone());
+    common::start_watchdog(record.clone(), temporary.0.clone());
     record.line(&format!(
         "start  case {case}, trouble {}",
         common::trouble()
     ));
-    let verdict = match case.as_str() {
+    let run = || match case.as_str() {
         "1" => case1::run(&setting),
         "2" => case2::run(&setting),
         "3" => case3::run(&setting),
         _ => Verdict::CouldNotRun,
     };
+    let verdict = catch_unwind(AssertUnwindSafe(run)).unwrap_or(Verdict::CouldNotRun);
     let (status, text) = match verdict {
         Verdict::Held => (0, "the rule held"),
         Verdict::Broken => (1, "the rule was broken"),
