A connection carries at most one attempt of a request: no rows of two runs in an answer

Cause: replies name the request, and Engine::on_reply finds the attempt by request and connection alone. A connection was kept from a request's next attempt only if the earlier one there had been withdrawn, and only for the last 32 of those (Connection::abandoned). After BROKE, WAIT or PAST, for a page or the query, the next attempt preferred just that connection, since it was free again; what still came for the first one counted for the second.

Change: the request keeps the numbers of the connections on which its attempts have started; the choice of a connection leaves them out. Numbers are unique in the process. The list of withdrawn attempts at each connection is gone, and its limit with it. This works because no reply can then meet a later attempt of its request: on its connection there is none, and a closed connection's number does not come back. At most one connection more for each attempt that a request may have.

--- a/crates/gateway/src/dispatcher/executor.rs
+++ b/crates/gateway/src/dispatcher/executor.rs
@@ -10,6 +10,7 @@
 use ironstair_runtime::pool::BufferChain;
 use ironstair_runtime::{
     Attempt, DiscoveredEndpoint, DispatcherMessage, EngineMessage, Reply, RequestId, Shared,
+    UsedConnections,
 };
 use slog::info;
 use std::cell::Cell;
@@ -39,6 +40,8 @@
     pub(super) sent_attempt: Option<SentAttempt>,
     /// Indices of the engines that it was sent to. The policy refers to them as long as the request is open.
     pub(super) tried_engines: Vec<usize>,
+    /// The connections on which its attempts have started.
+    pub(super) used_connections: Rc<UsedConnections>,
 }
 
 /// An attempt that was sent to an engine's actor.
@@ -254,6 +257,7 @@
             client_is_waiting: request.client_is_waiting.clone(),
             endpoint_state,
             started: Cell::new(false),
+            used_connections: request.used_connections.clone(),
         });
         request.tried_engines.push(engine);
         request.sent_attempt = Some(SentAttempt {
--- a/crates/gateway/src/dispatcher/requests.rs
+++ b/crates/gateway/src/dispatcher/requests.rs
@@ -69,6 +69,7 @@
             client_is_waiting: new.client_is_waiting,
             sent_attempt: None,
             tried_engines: Vec::new(),
+            used_connections: Rc::default(),
         });
         index
     }
--- a/crates/gateway/src/dispatcher_tests.rs
+++ b/crates/gateway/src/dispatcher_tests.rs
@@ -6,7 +6,7 @@
 use ironstair::{Actions, EndpointState, Millis};
 use ironstair_runtime::clock::Clock;
 use ironstair_runtime::pool::BufferPool;
-use ironstair_runtime::{DiscoveredEndpoint, EngineMessage, Metrics, Shared};
+use ironstair_runtime::{ConnectionNumbers, DiscoveredEndpoint, EngineMessage, Metrics, Shared};
 use ironstair_settings::TransportConfig;
 use slog::{o, Discard, Logger};
 use std::cell::{Cell, RefCell};
@@ -33,6 +33,7 @@
         accepts_tenant_names: false,
         transport_config: RefCell::new(Rc::new(transport_config)),
         max_engine_connections: 8,
+        connection_numbers: ConnectionNumbers::default(),
         endpoint_count: Cell::new(0),
         lease_until: Cell::new(Millis::INFINITY),
         log: Logger::root(Discard, o!()),
@@ -74,6 +75,7 @@
         client_is_waiting: Rc::new(Cell::new(true)),
         sent_attempt: None,
         tried_engines: Vec::new(),
+        used_connections: Rc::default(),
     }
 }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -40,8 +40,6 @@
     queue: Sender<EngineMessage>,
     in_flight: BTreeMap<RequestId, InFlightAttempt>,
     connections: BTreeMap<u64, Connection>,
-    /// The number of the connection that was opened last.
-    last_connection: u64,
     /// The number of load reports requested so far; each request's tag contains it.
     load_report_requests: u64,
     /// Messages to the dispatcher that are sent after the current one is handled.
@@ -73,7 +71,6 @@
             queue,
             in_flight: BTreeMap::new(),
             connections: BTreeMap::new(),
-            last_connection: 0,
             load_report_requests: 0,
             outgoing: Vec::new(),
             flush_pending: Vec::new(),
@@ -158,7 +155,7 @@
             self.report_attempt_ended(id, Outcome::Unsent, None);
             return;
         }
-        let connection_number = self.connection_for(Some(&id));
+        let connection_number = self.connection_for(Some(&attempt.used_connections));
         let in_flight = InFlightAttempt {
             attempt: attempt.clone(),
             connection: connection_number,
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -9,7 +9,7 @@
 use async_io::Async;
 use ironstair::{Millis, Outcome};
 use ironstair_runtime::pool::Buffer;
-use ironstair_runtime::{Attempt, RequestId};
+use ironstair_runtime::{Attempt, RequestId, UsedConnections};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
@@ -35,9 +35,6 @@
     /// Set when an attempt is withdrawn or times out after nothing was received for longer than its objective; cleared
     /// when something is received.
     pub(super) is_silent: bool,
-    /// Requests with an abandoned attempt on this connection. The next attempt of such a request uses another
-    /// connection, since a late reply to the abandoned one would be attributed to it.
-    pub(super) abandoned: VecDeque<RequestId>,
     /// Bytes that wait to be written.
     pub(super) outbound: VecDeque<OutboundChunk>,
     /// The received part of an incomplete reply.
@@ -64,27 +61,28 @@
 }
 
 impl Engine {
-    /// Chooses or opens the connection for an attempt of `request`, or for a line if it is `None`; returns its number.
+    /// Chooses or opens the connection for an attempt, or for a line; returns its number. An attempt does not get one of
+    /// the connections that its request has `used` before.
     ///
     /// A connection without attempts is preferred, then a new connection, because a lost connection loses every attempt
     /// on it. Once the engine has as many connections as its share of the descriptors allows, the one with the fewest
     /// attempts is used.
-    pub(super) fn connection_for(&mut self, request: Option<&RequestId>) -> u64 {
-        match self.usable_connection(request) {
+    pub(super) fn connection_for(&mut self, used: Option<&UsedConnections>) -> u64 {
+        match self.usable_connection(used) {
             Some(number) => number,
             None => self.open_connection(),
         }
     }
 
-    fn usable_connection(&self, request: Option<&RequestId>) -> Option<u64> {
+    fn usable_connection(&self, used: Option<&UsedConnections>) -> Option<u64> {
         // Connections to a machine that was cut off from the network stay open and silent, possibly forever. Only a new
         // connection shows whether the engine can be reached.
         let silent = self.in_flight.values().filter(|sent| self.is_silent(sent));
         let silent: BTreeSet<u64> = silent.map(|in_flight| in_flight.connection).collect();
         let max_attempts = self.shared.transport_config().max_attempts_per_connection;
-        let has_capacity = |connection: &Connection| {
-            let has_abandoned = |id| connection.abandoned.contains(id);
-            connection.open_attempts < max_attempts && !request.is_some_and(has_abandoned)
+        let is_usable = |number: u64, connection: &Connection| {
+            let is_used = used.is_some_and(|used| used.contains(number));
+            connection.open_attempts < max_attempts && !is_used
         };
         let rank = |number: u64, connection: &Connection| ConnectionRank {
             is_silent: connection.is_silent || silent.contains(&number),
@@ -92,7 +90,7 @@
             is_connecting: connection.stream.is_none(),
         };
         let connections = self.connections.iter();
-        let candidates = connections.filter(|(_, connection)| has_capacity(connection));
+        let candidates = connections.filter(|(number, connection)| is_usable(**number, connection));
         let ranked = candidates.map(|(number, connection)| (rank(*number, connection), *number));
         let (best, number) = ranked.min()?;
         let is_free = !best.is_silent && best.open_attempts == 0;
@@ -107,8 +105,7 @@
     }
 
     fn open_connection(&mut self) -> u64 {
-        self.last_connection += 1;
-        let number = self.last_connection;
+        let number = self.shared.connection_numbers.next();
         let (write_blocked, blocked_writes) = async_channel::bounded(1);
         let shared = &self.shared;
         let task = ConnectionTask {
@@ -126,7 +123,6 @@
             last_heard_at: now,
             idle_since: now,
             is_silent: false,
-            abandoned: VecDeque::new(),
             outbound: VecDeque::new(),
             partial: None,
             write_blocked,
--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -9,9 +9,6 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 
-/// Limit on the abandoned attempts that a connection remembers because their replies may still arrive.
-const MAX_ABANDONED: usize = 32;
-
 /// Bytes that wait to be written: an attempt or lines.
 pub(super) struct OutboundChunk {
     /// The attempt that starts with the first byte; it is encoded right before that byte is written.
@@ -48,6 +45,12 @@
             ..OutboundChunk::lines(bytes)
         }
     }
+
+    /// The attempt that starts with the chunk's first byte, if that is not written yet.
+    fn unstarted_attempt(&self) -> Option<&Rc<Attempt>> {
+        let attempt = self.attempt.as_ref();
+        attempt.filter(|attempt| !attempt.started.get())
+    }
 }
 
 /// The state of the first chunk in a connection's queue.
@@ -88,11 +91,7 @@
         let connection = self.connections.get_mut(&number)?;
         let stream = connection.stream.as_ref()?;
         let first = connection.outbound.front_mut()?;
-        let unstarted = first
-            .attempt
-            .as_ref()
-            .filter(|attempt| !attempt.started.get());
-        let Some(attempt) = unstarted else {
+        let Some(attempt) = first.unstarted_attempt() else {
             return Some(NextChunk::Ready);
         };
         if !attempt.may_start(now) {
@@ -126,8 +125,9 @@
         };
         match stream.get_ref().write(&first.bytes[first.written..]) {
             Ok(written) => {
-                if let Some(attempt) = &first.attempt {
-                    attempt.started.set(true);
+                let unstarted = first.unstarted_attempt();
+                if let Some(attempt) = unstarted {
+                    attempt.start_on(number);
                 }
                 first.written += written;
                 if first.written == first.bytes.len() {
@@ -192,10 +192,6 @@
             self.drop_connection(number, Outcome::Unsent);
             return;
         }
-        if connection.abandoned.len() == MAX_ABANDONED {
-            connection.abandoned.pop_front();
-        }
-        connection.abandoned.push_back(*id);
         let mut line = Vec::new();
         match in_flight.pages.is_empty() {
             true => lines::write_withdrawal(&mut line, id_text(id)),
--- a/crates/gateway/src/server/initial_state.rs
+++ b/crates/gateway/src/server/initial_state.rs
@@ -15,7 +15,7 @@
 use ironstair_runtime::clock::Clock;
 use ironstair_runtime::pool::BufferPool;
 use ironstair_runtime::state_watch::ClassSummary;
-use ironstair_runtime::{DispatcherMessage, Metrics, Shared};
+use ironstair_runtime::{ConnectionNumbers, DispatcherMessage, Metrics, Shared};
 use slog::{warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -46,6 +46,7 @@
         clock: Clock::start(),
         pool: BufferPool::with_capacity(buffer_bytes as usize),
         max_engine_connections: config.descriptors / DESCRIPTORS_PER_ENGINE_CONNECTION,
+        connection_numbers: ConnectionNumbers::default(),
         endpoint_count: Cell::new(0),
         lease_until: Cell::new(Millis::INFINITY),
         classes: RefCell::default(),
--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -9,6 +9,7 @@
 mod client_hangup;
 mod connection_limits;
 mod engine_connection;
+mod late_replies;
 mod name_service;
 mod patient_gateway;
 mod shutdown;
--- a/crates/runtime/src/attempt.rs
+++ b/crates/runtime/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::RequestId;
 use crate::pool::BufferChain;
+use crate::used_connections::UsedConnections;
 use ironstair::{EndpointState, Millis};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -33,6 +34,8 @@
     pub endpoint_state: Rc<Cell<EndpointState>>,
     /// Whether the first byte has been written.
     pub started: Cell<bool>,
+    /// The connections on which attempts of the request have started; shared by all its attempts.
+    pub used_connections: Rc<UsedConnections>,
 }
 
 impl Attempt {
@@ -43,6 +46,12 @@
             && self.endpoint_state.get() == EndpointState::Ready
     }
 
+    /// Records that the first byte is written to the connection with this number.
+    pub fn start_on(&self, connection: u64) {
+        self.started.set(true);
+        self.used_connections.insert(connection);
+    }
+
     /// Prevents the attempt from starting, whichever queue holds it. An attempt that has started is withdrawn with
     /// [`EngineMessage::WithdrawAttempt`](crate::EngineMessage::WithdrawAttempt).
     pub fn withdraw(&self) {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod pool;
 mod shared;
 pub mod state_watch;
+mod used_connections;
 pub mod wait;
 
 pub use attempt::Attempt;
@@ -18,3 +19,4 @@
     DiscoveredEndpoint, DispatcherMessage, EngineMessage, NewRequest, Reply, RequestId,
 };
 pub use shared::{Metrics, Shared};
+pub use used_connections::{ConnectionNumbers, UsedConnections};
--- a/crates/runtime/src/shared.rs
+++ b/crates/runtime/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::messages::DispatcherMessage;
 use crate::pool::BufferPool;
 use crate::state_watch::ClassSummary;
+use crate::used_connections::ConnectionNumbers;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use ironstair::Millis;
@@ -32,6 +33,8 @@
     pub accepts_tenant_names: bool,
     /// The limit on the connections to all engines together.
     pub max_engine_connections: usize,
+    /// Numbers the connections to all engines.
+    pub connection_numbers: ConnectionNumbers,
     /// The number of endpoints in the current list.
     pub endpoint_count: Cell<usize>,
     /// When the lease ends under which the gateway may decide; infinite outside a fleet.
--- a/crates/test-cluster/src/stub.rs
+++ b/crates/test-cluster/src/stub.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod gateway;
 mod late_listener;
+mod manual_engine;
 mod name_service;
 
 pub use client::{framed, Client, FAILED, REJECTED};
@@ -14,6 +15,7 @@
     start_gateway_in_fleet, start_gateway_with_config, Gateway,
 };
 pub use late_listener::{FullListener, OpenedListener};
+pub use manual_engine::{ManualEngine, ReceivedCommand};
 pub use name_service::{
     append_domain_name, engine_list_answer, start_name_service, NameServiceAnswer,
 };
--- a/crates/test-cluster/src/stub/engine.rs
+++ b/crates/test-cluster/src/stub/engine.rs
@@ -54,18 +54,12 @@
 ) {
     let mut writer = stream.try_clone().expect("a socket can be duplicated");
     let mut reader = BufReader::new(stream);
-    let mut line = String::new();
-    while reader.read_line(&mut line).is_ok_and(|count| count > 0) {
-        let body = match line.starts_with("fetch") {
-            true => read_body(&mut reader, &line),
-            false => String::new(),
-        };
-        let line_text = line.trim_end();
+    while let Some(command) = read_command(&mut reader) {
         recorded_lines
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .push(format!("{line_text}{body}"));
-        let (answer, is_last) = respond(line_text, &body);
+            .push(format!("{}{}", command.line, command.body));
+        let (answer, is_last) = respond(&command.line, &command.body);
         // Fails if the gateway has closed the connection in the meantime.
         if writer.write_all(&answer).is_err() {
             return;
@@ -73,10 +67,30 @@
         if is_last {
             let _ = writer.shutdown(Shutdown::Both);
         }
-        line.clear();
     }
 }
 
+/// A line of the gateway, without its line ending, and the line's body.
+pub(super) struct Command {
+    pub(super) line: String,
+    pub(super) body: String,
+}
+
+/// Reads the next line and its body; `None` when the connection has ended.
+pub(super) fn read_command(reader: &mut impl BufRead) -> Option<Command> {
+    let mut line = String::new();
+    let length = reader.read_line(&mut line).ok()?;
+    if length == 0 {
+        return None;
+    }
+    let body = match line.starts_with("fetch") {
+        true => read_body(reader, &line),
+        false => String::new(),
+    };
+    line.truncate(line.trim_end().len());
+    Some(Command { line, body })
+}
+
 /// Reads the body of a `fetch` line and the line ending after it. The line's last field is the body's length.
 fn read_body(reader: &mut impl Read, line: &str) -> String {
     let length: usize = line
