WAIT for a page of a result does not mean that the query never ran

What callers saw: a non-idempotent request whose engine answered the query with its first page and a request for another page with WAIT was answered -32014, "refused: trying again is harmless", although it had run.

Cause: Engine::on_reply reported every WAIT as Rejected, on which the policy drops the possible run, without looking whether the attempt already had its first page. Fix: after the first page WAIT is a failure that may have run, as BROKE is; PAST already counts as one that may have run.

Test: non_idempotent_request_is_not_repeated_when_a_page_of_its_result_is_refused, red before, green now.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -126,10 +126,11 @@
         let Some(in_flight) = in_flight.filter(|sent| sent.connection == connection) else {
             return;
         };
-        let is_duplicate = !in_flight.pages.is_empty();
+        // After the first page every reply is about a page, except for a repeated first one, whose page is already
+        // stored.
+        let has_run = !in_flight.pages.is_empty();
         match reply.kind {
-            // A repeated first reply is ignored: its page is already stored.
-            ReplyKind::Done if is_duplicate => {}
+            ReplyKind::Done if has_run => {}
             ReplyKind::Done => match self.on_done(&id, reply.fields) {
                 Ok(()) => self.on_page(connection, &id, 0, reply.body),
                 Err(error) => self.close_after_invalid_reply(connection, &error),
@@ -141,7 +142,8 @@
                 let page = page.filter(|page| *page >= 1.0).unwrap_or(f64::MAX);
                 self.on_page(connection, &id, page as usize, reply.body);
             }
-            ReplyKind::Full => self.end_attempt(&id, Outcome::Rejected, None),
+            // A rejected attempt counts as never run; only the rejection of the query itself means that.
+            ReplyKind::Full if !has_run => self.end_attempt(&id, Outcome::Rejected, None),
             ReplyKind::TimedOut => self.end_attempt(&id, Outcome::TimedOut, None),
             _ => self.end_attempt(&id, Outcome::EngineError, None),
         }
--- a/crates/gateway/tests/crossings/late_replies.rs
+++ b/crates/gateway/tests/crossings/late_replies.rs
@@ -3,7 +3,7 @@
 
 use crate::patient_gateway::{send_call_with_long_deadline, start_with_edited_config};
 use crate::support::cancel_notification;
-use ironstair_test_cluster::stub::{Client, Gateway, ManualEngine, ReceivedCommand};
+use ironstair_test_cluster::stub::{Client, Gateway, ManualEngine, ReceivedCommand, FAILED};
 use serde_json::json;
 use std::ops::Range;
 use std::thread;
@@ -269,3 +269,20 @@
 
     setup.assert_served_with_rows_of(3);
 }
+
+#[test]
+fn non_idempotent_request_is_not_repeated_when_a_page_of_its_result_is_refused() {
+    // Guards against a second run: `WAIT` means "never ran" only for the query itself. After the first page it is known
+    // that the query has run.
+    let mut setup = Setup::start("refused-page", false);
+    setup.send_call("post", CALL);
+    let first = setup.wait_for_attempt(CALL);
+    setup.send_first_page(&first, 1);
+    setup
+        .engine
+        .send(first.connection, &status_reply(CALL, "WAIT"));
+
+    let answer = setup.client.receive();
+    assert_eq!(answer["error"]["code"], FAILED, "{answer}");
+    setup.assert_no_further_attempt();
+}
