--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod connections;
+mod timers;
 mod writing;
 
 use async_channel::{Receiver, Sender};
