Engine's actor: the withdrawal of an attempt in three short functions

Engine::withdraw decided, looked for the partly written statement and wrote the line in one function of 45 lines. Now the decision is apart from the two steps.

--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -169,33 +169,43 @@
     /// Withdraws an attempt. One that has not started ends at once. One that has started ends when the command to the
     /// engine is written or its connection is closed: another attempt of the request must not start before that.
     pub(super) fn withdraw(&mut self, attempt: &Rc<Attempt>) {
-        let id = &attempt.id;
-        if !self.is_in_flight(attempt) {
-            return;
-        }
-        let Some(in_flight) = self.in_flight.get(id) else {
+        let in_flight = self.in_flight.get(&attempt.id);
+        let Some(in_flight) = in_flight.filter(|sent| Rc::ptr_eq(&sent.attempt, attempt)) else {
             return;
         };
         let number = in_flight.connection;
-        let Some(connection) = self.connections.get_mut(&number) else {
-            return;
-        };
         if !attempt.started.get() {
-            self.end_attempt(id, Outcome::Unsent, None);
-            return;
+            self.end_attempt(&attempt.id, Outcome::Unsent, None);
+        } else if self.is_incomplete_and_alone(attempt, number) {
+            // Closing the connection keeps the engine from receiving the whole statement, so that it never runs it.
+            self.drop_connection(number, Outcome::Unsent);
+        } else {
+            self.send_withdrawal(attempt, number);
         }
+    }
+
+    /// Whether the attempt is partly written to this connection, which has no other attempt.
+    fn is_incomplete_and_alone(&self, attempt: &Rc<Attempt>, number: u64) -> bool {
+        let Some(connection) = self.connections.get(&number) else {
+            return false;
+        };
         let first = connection.outbound.front();
         let first_attempt = first.and_then(|chunk| chunk.attempt.as_ref());
-        let is_partly_written = first_attempt.is_some_and(|first| first.id == *id);
-        if is_partly_written && connection.open_attempts == 1 {
-            // Closing the connection keeps the engine from receiving the whole statement, so that it never runs it.
-            self.drop_connection(number, Outcome::Unsent);
+        let is_incomplete = first_attempt.is_some_and(|first| Rc::ptr_eq(first, attempt));
+        is_incomplete && connection.open_attempts == 1
+    }
+
+    /// Sends the command that withdraws the attempt, or releases its result if its first page has arrived.
+    fn send_withdrawal(&mut self, attempt: &Rc<Attempt>, number: u64) {
+        let in_flight = self.in_flight.get(&attempt.id);
+        let has_run = in_flight.is_some_and(|sent| !sent.pages.is_empty());
+        let Some(connection) = self.connections.get_mut(&number) else {
             return;
-        }
+        };
         let mut line = Vec::new();
-        match in_flight.pages.is_empty() {
-            true => lines::write_withdrawal(&mut line, id_text(id)),
-            false => lines::write_release(&mut line, id_text(id)),
+        match has_run {
+            false => lines::write_withdrawal(&mut line, id_text(&attempt.id)),
+            true => lines::write_release(&mut line, id_text(&attempt.id)),
         }
         let chunk = OutboundChunk::withdrawal(line, attempt.clone());
         connection.outbound.push_back(chunk);
