Test: seeded plays against engines that reply late, twice, with failures, or not at all

Three engines draw their replies from a seed and record each attempt: when it was out, and whether it may have run. Each call must get one answer; "served" has the rows of one run; a non-idempotent request is not rejected after a run and has at most one possible run; no two attempts are out at once (an attempt that the gateway gives up may end 0.5 s late, since the engine learns of it from another connection).

--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -12,4 +12,5 @@
 mod late_replies;
 mod name_service;
 mod patient_gateway;
+mod random_replies;
 mod shutdown;
--- a/crates/test-cluster/src/stub.rs
+++ b/crates/test-cluster/src/stub.rs
@@ -3,13 +3,16 @@
 
 mod client;
 mod engine;
+mod faulty_engine;
 mod gateway;
 mod late_listener;
 mod manual_engine;
 mod name_service;
+mod run_log;
 
 pub use client::{framed, Client, FAILED, REJECTED};
 pub use engine::{done_reply, request_id, start_engine, RecordedLines};
+pub use faulty_engine::{rows_of_run, start_faulty_engine};
 pub use gateway::{
     allocate_address, gateway_binary, gateway_config, spawn_gateway_process, start_gateway,
     start_gateway_in_fleet, start_gateway_with_config, Gateway,
@@ -19,6 +22,7 @@
 pub use name_service::{
     append_domain_name, engine_list_answer, start_name_service, NameServiceAnswer,
 };
+pub use run_log::{Attempt, RunLog};
 
 use std::thread;
 use std::time::{Duration, Instant};
