Tests: the decision trace's root file stands with its modules

tests/decision_trace.rs becomes tests/decision_trace/main.rs, the layout of the other test programs with modules.

--- a/tests/decision_trace.rs
+++ b/tests/decision_trace/main.rs
@@ -30,7 +30,6 @@
 };
 use std::collections::BTreeMap;
 
-#[path = "decision_trace/boundaries/mod.rs"]
 mod boundaries;
 
 /// Every action, call and outcome, and evidence that each rule was applied. All of them have to
