Tests: the decision trace in files of one job each, its event and action handlers as functions

Configurations, random numbers, hash, recorded actions, the host's models, its events, its engines and its calls of the policy are modules now; one arm of the two large matches that was longer than a few lines is a function. No event, draw or assertion changes: both tests pass with the same hashes.

--- a/tests/decision_trace/boundaries/script.rs
+++ b/tests/decision_trace/boundaries/script.rs
@@ -1,7 +1,8 @@
 //! Passes scripted events to a gateway, and folds every action and the final views into a hash. The
 //! builders here hold the settings that most scenarios share; a scenario states only what differs.
 
-use crate::{Action, Hash, RecordedActions};
+use crate::hash::Hash;
+use crate::recorded_actions::{Action, RecordedActions};
 use ironstair::policy::Gateway;
 use ironstair::{
     ClassPolicy, Endpoint, EndpointState, MachineType, Outcome, PolicyConfig, Request,
