--- a/review/10/case.py
+++ b/review/10/case.py
@@ -10,7 +10,7 @@
 from stand import *  # noqa: E402,F403
 
 SLACK_S = 0.05
-CONNECT_MS = 2000
+CONNECT_MS = 1500
 
 
 class LateListener:
