--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A class is bound to a kind of engine while connections to an engine of another kind come up late."""
+"""New configurations in quick succession while discovery is slow; an engine begins to drain meanwhile."""
 
 import asyncio
 import os
@@ -9,76 +9,71 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-2"))
 from stand import *  # noqa: E402,F403
 
-SLACK_S = 0.05
-CONNECT_MS = 1500
+ANSWER_DELAY_S = 1.4
+RELOADS, RELOAD_EVERY_S = 11, 1.3
+# However the pages are read, the drain counts as told 7 s after it happened; then come the grace and the slack.
+TOLD_AT_THE_LATEST_S, DRAIN_GRACE_S, SLACK_S = 7.0, 2.0, 0.05
 
 
-class LateListener:
-    """A listening socket whose queue is full: connections come up when it is opened, at the next SYN of the system."""
+class SlowNameService(NameService):
+    """Answers each query, but only after a while, which is shorter than the gateway waits for it."""
 
-    def __init__(self):
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.socket.bind(("127.0.0.1", 0))
-        self.socket.listen(0)
-        self.port = self.socket.getsockname()[1]
-        self.fillers = []
-        while len(self.fillers) < 16:
-            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            filler.settimeout(0.1)
-            try:
-                filler.connect(("127.0.0.1", self.port))
-            except (socket.timeout, OSError):
-                filler.close()
-                return
-            self.fillers.append(filler)
-        raise NotRun("the queue of the listener cannot be filled")
+    delay_s = 0.0
 
-    async def open(self, engine):
-        self.socket.listen(128)
-        await engine.start(self.socket)
+    def datagram_received(self, data, sender):
+        asyncio.get_running_loop().call_later(
+            self.delay_s, lambda: NameService.datagram_received(self, data, sender))
 
 
 async def play(record, ends):
-    late = LateListener()
-    small = Engine(record, "e1-c8")
-    large = await Engine(record, "e2-c12").start()
-    if not trouble():
-        await late.open(small)
-    listed = [instance("e1", late.port, kind="c8"), instance("e2", large.port, kind="c12")]
-    names = await NameService.start(record, 1, listed)
-    classes = [class_of("lookup", 1200, 6000), class_of("report", 4000, 20000, worth=4.0, stretch=2.5)]
-    told = settings(classes, [1, 4], kinds=(("c12", 12), ("c8", 8)), connect_ms=CONNECT_MS, limits={"probes": False})
-    manage = free_port()
-    gateway = Gateway(record, {"names": names.address, "known": known(1, listed), "settings": told},
-                      operator={"management": {"listen": "127.0.0.1:%d" % manage}})
+    engines = [await Engine(record, "e%d" % number).start() for number in (1, 2, 3)]
+
+    def listed(**states):
+        return [instance(engine.name, engine.port, state=states.get(engine.name, "ready")) for engine in engines]
+
+    names = await SlowNameService.start(record, 1, listed())
+    lookup = class_of("lookup", 1000, 5000)
+    gateway = Gateway(record, {"names": names.address, "known": known(1, listed()),
+                               "settings": settings([lookup], [1])})
     ends.append(gateway.clean)
     gateway.start()
     await gateway.until_fit()
-    client = await Client.connect(record, "client", gateway.port)
-    futures = []
-    # Reports of many groups of tables: some have their home on e1.
-    for group in range(12):
-        futures.append(client.call("report", 15000, "select a, b, c from sales_%d.orders" % group)[1])
-    await asyncio.sleep(0.15)
-    record.add("operator", "ironstair set /settings/band[name=report]/kind [\"c12\"]")
-    command = await asyncio.create_subprocess_exec(
-        ironstair(), "set", "/settings/band[name=report]/kind", '["c12"]', "--at", "127.0.0.1:%d" % manage,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
-    output, _ = await asyncio.wait_for(command.communicate(), 20)
-    done = time.time()
-    record.add("operator", "%s (exit code %d)" % (output.decode().strip(), command.returncode))
-    if command.returncode != 0:
-        raise NotRun("the change was refused")
-    if trouble():
-        await late.open(small)
-        record.add("e1-c8", "connections come up from now on")
-    for group in range(12):
-        futures.append(client.call("report", 15000, "select a, b, c from sales_%d.orders" % group)[1])
-    await asyncio.wait(futures, timeout=16)
-    wrong = [one for one in small.attempts if one.at > done + SLACK_S]
-    record.add("case", "attempts at e1 of kind c8: %d, of these after the change: %d" % (len(small.attempts), len(wrong)))
-    return wrong and "%d reports were sent to an engine of kind c8 up to %.0f ms after the change was done" % (
-        len(wrong), (wrong[-1].at - done) * 1000)
+    # Discovery is slow in either play; only with the new configurations is it not heard.
+    names.delay_s = ANSWER_DELAY_S
+    client = await Client.connect(record, "client", gateway.port, quiet=True)
+    end = time.time() + 3 + RELOADS * RELOAD_EVERY_S
+
+    async def lookups():
+        number = 0
+        while time.time() < end:
+            client.call("lookup", 5000, "select a, b, c from sales_%d.orders" % (number % 40))
+            number += 1
+            await asyncio.sleep(0.025)
+
+    task = asyncio.ensure_future(lookups())
+    await asyncio.sleep(2)
+    happened = None
+    for number in range(RELOADS):
+        if trouble():
+            gateway.reload(settings=settings([dict(lookup, worth=1.0 + number % 2)], [1]))
+        if happened is None:
+            await asyncio.sleep(0.2)
+            names.set(2, listed(e1="draining"))
+            happened = time.time()
+            await asyncio.sleep(RELOAD_EVERY_S - 0.2)
+        else:
+            await asyncio.sleep(RELOAD_EVERY_S)
+    await task
+    limit = happened + TOLD_AT_THE_LATEST_S + DRAIN_GRACE_S + SLACK_S
+    late = [attempt for attempt in engines[0].attempts if attempt.at > limit]
+    last = max((attempt.at - happened for attempt in engines[0].attempts), default=0.0)
+    record.add("case", "an answer with the drain was first sent %.2f s after it; last attempt at e1 %.2f s after it; "
+               "%d attempts later than %.2f s" % (
+                   names.told.get(2, 0.0) - happened, last, len(late), limit - happened))
+    if gateway.has_ended():
+        return "the gateway has ended"
+    return late and "%d attempts were sent to the draining engine e1, up to %.1f s after it began to drain" % (
+        len(late), last)
 
 
 main(__file__, play)
