--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -3,12 +3,14 @@
 mod call;
 mod close;
 mod idle_timer;
+mod inbound;
 mod reader;
 mod writer;
 
 use crate::connection_limiter::ConnectionPermit;
 use async_channel::Sender;
 use async_io::Async;
+use event_listener::Event;
 use futures_lite::future::or;
 use ironstair::Millis;
 use ironstair_protocol::rpc::{CallError, ErrorCode, ErrorResponse};
@@ -16,21 +18,26 @@
 use ironstair_runtime::{DispatcherMessage, Reply, RequestId, Shared};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::pending;
 use std::net::TcpStream;
 use std::rc::Rc;
 
 /// Limit on open calls per connection, which the platform's clients observe.
 const MAX_OPEN_CALLS: usize = 32;
-/// Capacity of the queue of replies to write. A client that reads so slowly that the queue overflows loses its
-/// connection.
+/// Capacity of the queue of replies to write. Nothing more is read while it has no room for the replies to all open
+/// calls.
 const REPLY_QUEUE_CAPACITY: usize = 2 * MAX_OPEN_CALLS;
-/// Number of protocol errors after which a connection is closed: a flood of them would delay the replies to other
-/// clients.
+/// Number of protocol errors after which a connection accepts no further requests, and ends once its open calls have
+/// their replies: a flood of errors would delay the replies to other clients.
 const MAX_PROTOCOL_ERRORS: u32 = 16;
 /// How long after a half-close by the client an attempt may still start, in ms. The client may have closed the whole
 /// connection, which looks the same until something is written to it.
 const START_AFTER_HALF_CLOSE: Millis = 50.0;
 
+/// After this time a client may repeat a call that was rejected for lack of memory, in ms.
+const OVERLOAD_RETRY_AFTER: Millis = 100.0;
+
 /// The error message for a request that was rejected.
 const REJECTED: &str = "turned back";
 /// The error message for a request that failed.
@@ -50,8 +57,12 @@
     /// Whether a reply is being written.
     is_writing: Cell<bool>,
     protocol_errors: Cell<u32>,
-    /// When a half-close by the client was detected while earlier bytes of the client were still unread.
+    /// The connection accepts no further requests, and ends once its open calls have their replies.
+    is_ending: Cell<bool>,
+    /// When a half-close by the client was detected; earlier bytes of the client may still be unread.
     half_closed_at: Cell<Option<Millis>>,
+    /// Notified when a half-close is detected.
+    half_closed: Event,
 }
 
 /// A call without a reply.
@@ -75,16 +86,20 @@
         open_calls: RefCell::default(),
         is_writing: Cell::new(false),
         protocol_errors: Cell::new(0),
+        is_ending: Cell::new(false),
         half_closed_at: Cell::new(None),
+        half_closed: Event::new(),
     };
     let read = async {
         client.read_until_end(&stream).await;
         Ok(())
     };
+    let write = client.write(&stream, reply_queue);
+    let stop_attempts = async { match client.stop_attempts_after_half_close().await {} };
     // A write error and an orderly end are handled alike.
-    let _ = or(read, client.write(&stream, reply_queue)).await;
+    let _ = or(read, or(write, stop_attempts)).await;
     client.cancel_open_calls().await;
-    close::close(stream, client.permit, &client.shared).await;
+    close::close(stream, client.permit).await;
 }
 
 impl Client {
@@ -104,17 +119,21 @@
         }
     }
 
-    /// Handles the end of the client's stream: the client has closed its sending half or the whole connection, which
-    /// look the same until something is written. Attempts in flight may still be answered; after
-    /// [`START_AFTER_HALF_CLOSE`] no new attempt starts.
-    async fn on_half_close(&self) {
-        let clock = &self.shared.clock;
-        let start_deadline = clock.now() + START_AFTER_HALF_CLOSE;
-        or(
-            self.until_drained(),
-            sleep_until(clock, Some(start_deadline)),
-        )
-        .await;
+    /// Records that the client has closed its sending half, or the whole connection: both look the same until something
+    /// is written.
+    fn note_half_close(&self) {
+        if self.half_closed_at.get().is_none() {
+            self.half_closed_at.set(Some(self.shared.clock.now()));
+            self.half_closed.notify(usize::MAX);
+        }
+    }
+
+    /// Waits for a half-close. Attempts in flight may still be answered; after [`START_AFTER_HALF_CLOSE`] no new attempt
+    /// starts, although earlier bytes of the client may still be unread.
+    async fn stop_attempts_after_half_close(&self) -> Infallible {
+        let half_closed_at = wait_for(&self.half_closed, || self.half_closed_at.get()).await;
+        let start_deadline = half_closed_at + START_AFTER_HALF_CLOSE;
+        sleep_until(&self.shared.clock, Some(start_deadline)).await;
         let open_calls: Vec<OpenCall> = self.open_calls.borrow().values().cloned().collect();
         for call in &open_calls {
             call.client_is_waiting.set(false);
@@ -126,6 +145,7 @@
             })
             .await;
         }
+        pending().await
     }
 
     async fn send_to_dispatcher(&self, message: DispatcherMessage) {
@@ -163,13 +183,13 @@
         }
     }
 
-    /// Rejects a call for which no buffer is free, or that arrived too late to start.
+    /// Rejects a call for which no memory is free, or that arrived too late to start.
     fn reply_overloaded(&self, call_id: Option<u64>) {
         let response = ErrorResponse {
             call_id,
             code: ErrorCode::Rejected,
             message: REJECTED,
-            retry_after_ms: 0.0,
+            retry_after_ms: OVERLOAD_RETRY_AFTER,
         };
         self.reply_encoded(|output| response.write(output));
     }
@@ -177,6 +197,9 @@
     /// Answers a message that is not a valid call, and counts it.
     fn protocol_error(&self, error: CallError) {
         self.protocol_errors.set(self.protocol_errors.get() + 1);
+        if self.protocol_errors.get() >= MAX_PROTOCOL_ERRORS {
+            self.is_ending.set(true);
+        }
         let response = ErrorResponse {
             call_id: error.call_id,
             code: error.code,
--- a/crates/gateway/src/client/call.rs
+++ b/crates/gateway/src/client/call.rs
@@ -1,14 +1,13 @@
 //! Validates calls: turns each into a message for the dispatcher, or answers it directly.
 
-use super::{Client, OpenCall, MAX_OPEN_CALLS, MAX_PROTOCOL_ERRORS, START_AFTER_HALF_CLOSE};
+use super::{Client, OpenCall, MAX_OPEN_CALLS, START_AFTER_HALF_CLOSE};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use ironstair::{Millis, Request};
 use ironstair_protocol::rpc::{self, Call, CallError, ErrorCode, Params};
 use ironstair_protocol::statement;
-use ironstair_runtime::pool::{BufferChain, BUFFER_SIZE};
 use ironstair_runtime::state_watch::ClassSummary;
-use ironstair_runtime::{fnv1a_64, DispatcherMessage, NewRequest, RequestId};
+use ironstair_runtime::{fnv1a_64, DispatcherMessage, NewRequest, RequestId, Statement};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -21,9 +20,9 @@
 /// Largest remaining time that is accepted, as a multiple of the longest hard limit: clients may compute it
 /// differently.
 const MAX_TIME_REMAINING_FACTOR: f64 = 2.0;
-/// Base64 text is decoded in parts of this many characters, each into one buffer. The length is a multiple of four, so
-/// that each part can be decoded on its own.
-const BASE64_PART_CHARACTERS: usize = BUFFER_SIZE / 4 * 4;
+/// Characters and bytes of a group in base64 text.
+const BASE64_GROUP_CHARACTERS: usize = 4;
+const BASE64_GROUP_BYTES: usize = 3;
 
 /// The validated parameters of a call.
 struct RequestParams {
@@ -33,15 +32,15 @@
     memory_mb: Option<f64>,
     retry_count: Option<f64>,
     idempotency_key: Option<Rc<str>>,
-    statement: BufferChain,
+    statement: Statement,
 }
 
 /// Why a call does not become a request.
 enum RequestError {
     /// The call is invalid; the client receives the error code.
     Call(CallError),
-    /// No buffer is free for the statement. The call is rejected, since its request was not sent anywhere yet.
-    NoBuffer,
+    /// No memory is free for the statement. The call is rejected, since its request was not sent anywhere yet.
+    NoMemory,
 }
 
 impl From<CallError> for RequestError {
@@ -62,7 +61,7 @@
         call: &Call,
     ) -> Result<Option<DispatcherMessage>, CallError> {
         if &*call.method == b"interrupt" {
-            return Ok(self.cancel_call(call.params));
+            return Ok(self.cancel_call(call.params.unsigned("id")));
         }
         let call_id = call.id.filter(|id| *id > 0);
         let call_id = call_id.ok_or(CallError {
@@ -73,6 +72,9 @@
             self.reply_health(call_id);
             return Ok(None);
         }
+        if self.open_calls.borrow().contains_key(&call_id) {
+            return Ok(self.cancel_ambiguous_call(call_id));
+        }
         if self.accepts_no_requests(received_at) {
             self.reply_overloaded(Some(call_id));
             return Ok(None);
@@ -80,15 +82,25 @@
         match self.new_request(received_at, call_id, call) {
             Ok(request) => Ok(Some(DispatcherMessage::NewRequest(Box::new(request)))),
             Err(RequestError::Call(error)) => Err(error),
-            Err(RequestError::NoBuffer) => {
+            Err(RequestError::NoMemory) => {
                 self.reply_overloaded(Some(call_id));
                 Ok(None)
             }
         }
     }
 
-    fn cancel_call(&self, params: Params) -> Option<DispatcherMessage> {
-        let call_id = params.unsigned("id");
+    /// Refuses a call with the number of an open call, and cancels that one: the client could not tell which of the two a
+    /// reply belongs to. The connection ends once its other open calls have their replies.
+    fn cancel_ambiguous_call(&self, call_id: u64) -> Option<DispatcherMessage> {
+        self.is_ending.set(true);
+        self.protocol_error(CallError {
+            call_id: None,
+            code: ErrorCode::InvalidRequest,
+        });
+        self.cancel_call(Some(call_id))
+    }
+
+    fn cancel_call(&self, call_id: Option<u64>) -> Option<DispatcherMessage> {
         let open_calls = self.open_calls.borrow();
         let call = call_id.and_then(|call_id| open_calls.get(&call_id).cloned());
         drop(open_calls);
@@ -106,12 +118,13 @@
         self.reply_encoded(|output| rpc::write_health(output, call_id, is_healthy));
     }
 
-    /// Whether a request arrives too late: it might not end before the process does, or it was received more than
-    /// [`START_AFTER_HALF_CLOSE`] after a half-close by the client was detected.
+    /// Whether a request arrives too late: it might not end before the process does, the connection has to end, or the
+    /// request was received more than [`START_AFTER_HALF_CLOSE`] after a half-close by the client was detected.
     fn accepts_no_requests(&self, received_at: Millis) -> bool {
         let half_closed_at = self.half_closed_at.get();
         let is_late = |closed_at| received_at - closed_at > START_AFTER_HALF_CLOSE;
-        self.permit.limiter.is_closing() || half_closed_at.is_some_and(is_late)
+        let is_ending = self.permit.limiter.is_closing() || self.is_ending.get();
+        is_ending || half_closed_at.is_some_and(is_late)
     }
 
     fn new_request(
@@ -123,7 +136,7 @@
         let class = self.class_index(call_id, &call.method)?;
         self.check_open_calls(call_id)?;
         let params = self.request_params(call_id, call.params)?;
-        let table_group = statement::table_group(&params.statement.joined());
+        let table_group = statement::table_group(params.statement.bytes());
         let request = Request {
             class,
             time_remaining: params.time_remaining,
@@ -172,15 +185,6 @@
 
     fn check_open_calls(&self, call_id: u64) -> Result<(), CallError> {
         let open_calls = self.open_calls.borrow();
-        if open_calls.contains_key(&call_id) {
-            // The client could not tell which of the two calls a reply belongs to, so neither gets one. Setting the
-            // counter to its limit closes the connection.
-            self.protocol_errors.set(MAX_PROTOCOL_ERRORS);
-            return Err(CallError {
-                call_id: None,
-                code: ErrorCode::InvalidRequest,
-            });
-        }
         if open_calls.len() >= MAX_OPEN_CALLS {
             return Err(CallError {
                 call_id: Some(call_id),
@@ -236,18 +240,17 @@
     }
 
     /// Decodes a statement; `None` if the text is not base64.
-    fn decode_statement(&self, encoded: &[u8]) -> Result<Option<BufferChain>, RequestError> {
-        let mut statement = BufferChain::default();
-        for part in encoded.chunks(BASE64_PART_CHARACTERS) {
-            let buffer = self.shared.pool.try_acquire();
-            let mut buffer = buffer.ok_or(RequestError::NoBuffer)?;
-            let Ok(length) = STANDARD.decode_slice(part, buffer.spare_capacity()) else {
-                return Ok(None);
-            };
-            buffer.advance(length);
-            statement.0.push(buffer);
+    fn decode_statement(&self, encoded: &[u8]) -> Result<Option<Statement>, RequestError> {
+        let memory = &self.shared.statement_memory;
+        let decoded_bytes = encoded.len() / BASE64_GROUP_CHARACTERS * BASE64_GROUP_BYTES;
+        if !memory.has_room_for(decoded_bytes) {
+            return Err(RequestError::NoMemory);
         }
-        Ok(Some(statement))
+        let Ok(decoded) = STANDARD.decode(encoded) else {
+            return Ok(None);
+        };
+        let stored = Statement::store(decoded, memory);
+        Ok(Some(stored.ok_or(RequestError::NoMemory)?))
     }
 }
 
--- a/crates/gateway/src/client/idle_timer.rs
+++ b/crates/gateway/src/client/idle_timer.rs
@@ -5,7 +5,6 @@
 use async_io::Async;
 use futures_lite::future::or;
 use ironstair::Millis;
-use ironstair_protocol::rpc::{CallError, ErrorCode};
 use ironstair_runtime::wait::sleep_until;
 use std::future::pending;
 use std::net::TcpStream;
@@ -27,10 +26,6 @@
     ) -> ReadError {
         self.until_close_deadline(partial_since).await;
         if partial_since.is_some() {
-            self.protocol_error(CallError {
-                call_id: None,
-                code: ErrorCode::ParseError,
-            });
             return ReadError::Stalled;
         }
         self.until_drained().await;
--- a/crates/gateway/src/client/reader.rs
+++ b/crates/gateway/src/client/reader.rs
@@ -1,21 +1,21 @@
 //! Reads a client's messages and sends the resulting requests and cancellations to the dispatcher.
 
-use super::close::LINGER_TIMEOUT;
-use super::{Client, MAX_PROTOCOL_ERRORS};
+use super::inbound::Inbound;
+use super::{Client, MAX_OPEN_CALLS};
 use async_io::Async;
-use futures_lite::future::or;
-use futures_lite::AsyncReadExt;
+use futures_lite::future::{or, yield_now};
 use ironstair::Millis;
-use ironstair_protocol::rpc::{self, CallError, ErrorCode, FrameError, FrameHeader};
-use ironstair_runtime::pool::{Buffer, BufferChain, BUFFER_SIZE};
-use ironstair_runtime::wait::{sleep_until, timeout};
+use ironstair_protocol::message_decoder::SkippedCall;
+use ironstair_protocol::rpc::{self, CallError, ErrorCode, FrameError};
+use ironstair_runtime::wait::{sleep_until, wait_for};
+use ironstair_runtime::DispatcherMessage;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::future::pending;
+use std::future::{pending, Future};
 use std::io;
 use std::net::TcpStream;
 
-/// Interval of the checks for a hang-up by the client, in ms, while nothing is read because no buffer is free.
-const BLOCKED_READ_INTERVAL: Millis = 20.0;
+/// Interval of the checks for a hang-up by the client, in ms, while nothing is read from it.
+const HANGUP_CHECK_INTERVAL: Millis = 20.0;
 
 /// Why reading ended before the client closed its sending half.
 #[derive(Debug, thiserror::Error)]
@@ -26,12 +26,8 @@
     Stalled,
     #[error("the client has hung up")]
     HungUp,
-    #[error("the connection ended within a message")]
-    PartialMessage,
-    #[error("no buffer is free for a long message")]
-    NoBuffer,
-    #[error("too many messages that are not valid calls")]
-    TooManyProtocolErrors,
+    #[error("the connection had to end, and no call is open on it any more")]
+    Ended,
     #[error("the dispatcher has ended")]
     DispatcherEnded,
     #[error("malformed frame header")]
@@ -40,186 +36,235 @@
     Io(#[from] io::Error),
 }
 
-/// The received part of an incomplete message.
-struct PartialMessage {
-    buffer: Buffer,
-    /// When its first byte arrived.
-    since: Millis,
+/// What ends the wait for further bytes.
+enum Wake {
+    Readable,
+    ReleaseRequested,
 }
 
 impl Client {
-    /// Reads until the client closes its sending half and has received its replies, or the connection is to be closed.
+    /// Reads until the client closes its sending half, or the connection is to be closed. Open calls get their replies
+    /// first, unless the client is gone.
     pub(super) async fn read_until_end(&self, stream: &Async<TcpStream>) {
-        match self.read(stream).await {
-            Ok(()) | Err(ReadError::Idle) => {}
-            Err(_) => {
-                // After an error, the start of the next message or the call that a reply belongs to may be unknown.
-                self.cancel_open_calls().await;
-                let drained = async {
-                    self.until_drained().await;
-                    Ok(())
-                };
-                // A client that does not read its remaining replies within the timeout loses them.
-                let _ = timeout(LINGER_TIMEOUT, drained).await;
+        let is_client_gone = match self.read(stream).await {
+            Ok(()) | Err(ReadError::Idle | ReadError::Ended) => return,
+            Err(ReadError::HungUp | ReadError::Io(_) | ReadError::DispatcherEnded) => true,
+            Err(ReadError::Stalled | ReadError::Frame(_)) => {
+                // The start of the next message is unknown, so nothing more is read.
+                let drained = self.unless_hung_up(stream, self.until_drained());
+                drained.await.is_err()
             }
+        };
+        if is_client_gone {
+            self.cancel_open_calls().await;
         }
     }
 
-    async fn read(&self, mut stream: &Async<TcpStream>) -> Result<(), ReadError> {
-        let mut incomplete: Option<PartialMessage> = None;
+    async fn read(&self, stream: &Async<TcpStream>) -> Result<(), ReadError> {
+        let mut inbound = Inbound::new(&self.shared.receive_memory);
         loop {
-            let mut partial = match incomplete.take() {
-                Some(partial) => partial,
-                None => self.wait_for_buffer(stream).await?,
-            };
-            let stalled = self.until_idle_or_stalled(stream, Some(partial.since));
-            let space = partial.buffer.spare_capacity();
-            let read = async { stream.read(space).await.map_err(ReadError::Io) };
-            let length = or(read, async { Err(stalled.await) }).await?;
+            let length = self.receive(stream, &mut inbound).await?;
             if length == 0 {
-                self.on_half_close().await;
+                self.note_half_close();
                 self.until_drained().await;
                 return Ok(());
             }
-            partial.buffer.advance(length);
-            while self.handle_next_message(stream, &mut partial).await? {
-                partial.since = self.shared.clock.now();
-            }
-            if !partial.buffer.bytes().is_empty() {
-                incomplete = Some(partial);
-            }
+            self.check_hangup(stream)?;
+            self.handle_messages(stream, &mut inbound).await?;
+            // A client that sends without a pause must not keep the other tasks from running.
+            yield_now().await;
         }
     }
 
-    /// Waits until there is something to read, and then for a buffer.
-    async fn wait_for_buffer(
+    /// Waits for bytes and reads them; returns 0 at the end of the stream.
+    async fn receive(
         &self,
         stream: &Async<TcpStream>,
-    ) -> Result<PartialMessage, ReadError> {
-        let readable = async { stream.readable().await.map_err(ReadError::Io) };
-        let idle = async { Err(self.until_idle_or_stalled(stream, None).await) };
-        or(readable, idle).await?;
-        let acquired = async { Ok(self.shared.pool.acquire().await) };
-        let hung_up = async { Err(self.hangup_while_blocked(stream).await) };
-        let buffer = or(acquired, hung_up).await?;
-        Ok(PartialMessage {
-            buffer,
-            since: self.shared.clock.now(),
-        })
-    }
-
-    /// Detects a hang-up by the client while nothing is read, even if earlier bytes are still unread. Completes when
-    /// the client has closed the whole connection; never completes after a half-close.
-    async fn hangup_while_blocked(&self, stream: &Async<TcpStream>) -> ReadError {
-        let clock = &self.shared.clock;
+        inbound: &mut Inbound,
+    ) -> Result<usize, ReadError> {
         loop {
-            let next_check_at = clock.now() + BLOCKED_READ_INTERVAL;
-            sleep_until(clock, Some(next_check_at)).await;
-            let events = hangup_events(stream.get_ref());
-            if events.intersects(PollFlags::ERR | PollFlags::HUP) {
-                return ReadError::HungUp;
+            if let Some(length) = inbound.read(stream.get_ref())? {
+                return Ok(length);
             }
-            if !events.is_empty() {
-                let seen_at = self.half_closed_at.get().unwrap_or_else(|| clock.now());
-                self.half_closed_at.set(Some(seen_at));
-                self.on_half_close().await;
-                return pending().await;
+            match self.wait_for_bytes(stream, inbound).await {
+                Ok(Wake::Readable) => {}
+                Ok(Wake::ReleaseRequested) => {
+                    inbound.skip_message();
+                    self.reject_skipped_call(inbound);
+                }
+                Err(ReadError::Stalled) => self.end_after_stall(inbound)?,
+                Err(error) => return Err(error),
             }
         }
     }
 
-    /// Handles the next message, if it is complete in the buffer or longer than a buffer; returns whether it did.
-    async fn handle_next_message(
+    async fn wait_for_bytes(
         &self,
         stream: &Async<TcpStream>,
-        partial: &mut PartialMessage,
-    ) -> Result<bool, ReadError> {
-        let Some(header) = self.frame_header(partial.buffer.bytes())? else {
-            return Ok(false);
+        inbound: &Inbound,
+    ) -> Result<Wake, ReadError> {
+        let readable = async {
+            stream.readable().await?;
+            Ok(Wake::Readable)
         };
-        let message_start = header.header_bytes;
-        let message_end = message_start + header.message_bytes;
-        if message_end > BUFFER_SIZE {
-            partial.buffer.consume(message_start);
-            let stalled = self.until_idle_or_stalled(stream, Some(partial.since));
-            let message = self.read_long_message(stream, &mut partial.buffer, header.message_bytes);
-            let message = or(message, async { Err(stalled.await) }).await?;
-            self.on_message(&message.joined()).await?;
-            return Ok(true);
-        }
-        let Some(message) = partial.buffer.bytes().get(message_start..message_end) else {
-            return Ok(false);
+        let release_requested = async {
+            inbound.memory.until_release_requested().await;
+            Ok(Wake::ReleaseRequested)
         };
-        self.on_message(message).await?;
-        partial.buffer.consume(message_end);
-        Ok(true)
+        let close_due = async {
+            match self.is_ending.get() {
+                true => {
+                    self.until_drained().await;
+                    Err(ReadError::Ended)
+                }
+                false => Err(self
+                    .until_idle_or_stalled(stream, inbound.incomplete_since)
+                    .await),
+            }
+        };
+        or(readable, or(release_requested, close_due)).await
     }
 
-    fn frame_header(&self, bytes: &[u8]) -> Result<Option<FrameHeader>, ReadError> {
-        let header = rpc::frame_header(bytes);
-        if header.is_err() {
+    /// Refuses a message that did not arrive in time. The connection ends once its open calls have their replies; until
+    /// then the rest of the message is skipped.
+    ///
+    /// # Errors
+    /// Nothing more can be read, because the length of the message is unknown.
+    fn end_after_stall(&self, inbound: &mut Inbound) -> Result<(), ReadError> {
+        self.is_ending.set(true);
+        let was_refused = inbound.decoder.is_skipping();
+        let is_skipped = inbound.skip_message();
+        if !was_refused && !self.reject_skipped_call(inbound) {
             self.protocol_error(CallError {
                 call_id: None,
                 code: ErrorCode::ParseError,
             });
         }
-        Ok(header?)
+        match is_skipped {
+            true => Ok(()),
+            false => Err(ReadError::Stalled),
+        }
     }
 
-    /// Reads a message that does not fit into one buffer. `first` holds its start.
-    async fn read_long_message(
+    /// Handles all messages that are complete.
+    async fn handle_messages(
         &self,
-        mut stream: &Async<TcpStream>,
-        first: &mut Buffer,
-        message_bytes: usize,
-    ) -> Result<BufferChain, ReadError> {
-        let mut chain = BufferChain::default();
-        let mut missing = message_bytes;
-        while missing > 0 {
-            // Must not wait for a buffer: several long messages that each hold buffers could deadlock.
-            let Some(mut part) = self.shared.pool.try_acquire_for_long_message() else {
-                self.reply_overloaded(None);
-                return Err(ReadError::NoBuffer);
-            };
-            let length = if first.bytes().is_empty() {
-                let space = part.spare_capacity();
-                let limit = missing.min(space.len());
-                let length = stream.read(&mut space[..limit]).await?;
-                part.advance(length);
-                length
-            } else {
-                let limit = missing.min(first.bytes().len());
-                let length = part.append(&first.bytes()[..limit]);
-                first.consume(length);
-                length
-            };
-            if length == 0 {
-                return Err(ReadError::PartialMessage);
+        stream: &Async<TcpStream>,
+        inbound: &mut Inbound,
+    ) -> Result<(), ReadError> {
+        let mut has_handled = false;
+        self.reject_skipped_call(inbound);
+        while let Some(message) = self.next_message(inbound)? {
+            let request = self.on_message(message);
+            has_handled = true;
+            if let Some(request) = request {
+                self.send_request(stream, request).await?;
+            }
+            self.until_replies_are_read(stream).await?;
+            if self.is_ending.get() && self.open_calls.borrow().is_empty() {
+                self.unless_hung_up(stream, self.until_drained()).await?;
+                return Err(ReadError::Ended);
+            }
+            if inbound.decoder.has_unread() {
+                // Clients take turns message by message, however many messages one of them has sent at once.
+                yield_now().await;
             }
-            missing -= length;
-            chain.0.push(part);
         }
-        Ok(chain)
+        inbound.settle(self.shared.clock.now(), has_handled);
+        Ok(())
     }
 
-    async fn on_message(&self, message: &[u8]) -> Result<(), ReadError> {
+    fn next_message<'a>(&self, inbound: &'a mut Inbound) -> Result<Option<&'a [u8]>, FrameError> {
+        let message = inbound.decoder.next_message();
+        if message.is_err() {
+            self.protocol_error(CallError {
+                call_id: None,
+                code: ErrorCode::ParseError,
+            });
+        }
+        message
+    }
+
+    /// Handles a complete message. Returns the message for the dispatcher, if there is one.
+    fn on_message(&self, message: &[u8]) -> Option<DispatcherMessage> {
         let received_at = self.shared.clock.now();
         let handled = rpc::read_call(message).and_then(|call| self.on_call(received_at, &call));
-        match handled {
-            Ok(Some(message)) => {
-                let sent = self.shared.dispatcher.send(message).await;
-                sent.map_err(|_| ReadError::DispatcherEnded)
+        handled.unwrap_or_else(|error| {
+            self.protocol_error(error);
+            None
+        })
+    }
+
+    /// Rejects the call whose message is skipped, once its id is known; returns whether it did.
+    fn reject_skipped_call(&self, inbound: &mut Inbound) -> bool {
+        match inbound.decoder.take_skipped_call() {
+            Some(SkippedCall::Id(call_id)) => self.reply_overloaded(Some(call_id)),
+            Some(SkippedCall::Unknown) => self.reply_overloaded(None),
+            None => return false,
+        }
+        true
+    }
+
+    async fn send_request(
+        &self,
+        stream: &Async<TcpStream>,
+        request: DispatcherMessage,
+    ) -> Result<(), ReadError> {
+        let sent = self.unless_hung_up(stream, self.shared.dispatcher.send(request));
+        sent.await?.map_err(|_| ReadError::DispatcherEnded)
+    }
+
+    /// Waits until the queue of replies has room for the replies to all open calls.
+    async fn until_replies_are_read(&self, stream: &Async<TcpStream>) -> Result<(), ReadError> {
+        let has_room = || (self.replies.len() < MAX_OPEN_CALLS).then_some(());
+        let changed = &self.permit.activity.changed;
+        self.unless_hung_up(stream, wait_for(changed, has_room))
+            .await
+    }
+
+    /// Runs `work`, which must not depend on further bytes of the client.
+    ///
+    /// # Errors
+    /// The client has closed the whole connection before `work` completed.
+    async fn unless_hung_up<T>(
+        &self,
+        stream: &Async<TcpStream>,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ReadError> {
+        let work = async { Ok(work.await) };
+        or(work, async { Err(self.until_hung_up(stream).await) }).await
+    }
+
+    /// Detects a hang-up by the client while nothing is read, even if earlier bytes are still unread. Completes when
+    /// the client has closed the whole connection; never completes after a half-close.
+    async fn until_hung_up(&self, stream: &Async<TcpStream>) -> ReadError {
+        let clock = &self.shared.clock;
+        loop {
+            let next_check_at = clock.now() + HANGUP_CHECK_INTERVAL;
+            sleep_until(clock, Some(next_check_at)).await;
+            if let Err(error) = self.check_hangup(stream) {
+                return error;
             }
-            Ok(None) => Ok(()),
-            Err(error) => {
-                self.protocol_error(error);
-                if self.protocol_errors.get() < MAX_PROTOCOL_ERRORS {
-                    return Ok(());
-                }
-                Err(ReadError::TooManyProtocolErrors)
+            if self.half_closed_at.get().is_some() {
+                return pending().await;
             }
         }
     }
+
+    /// Notes a half-close, even if earlier bytes are still unread.
+    ///
+    /// # Errors
+    /// The client has closed the whole connection.
+    fn check_hangup(&self, stream: &Async<TcpStream>) -> Result<(), ReadError> {
+        let events = hangup_events(stream.get_ref());
+        if events.intersects(PollFlags::ERR | PollFlags::HUP) {
+            return Err(ReadError::HungUp);
+        }
+        if !events.is_empty() {
+            self.note_half_close();
+        }
+        Ok(())
+    }
 }
 
 /// The socket's poll events if the peer has closed the connection or its sending half; empty otherwise.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -72,7 +72,7 @@
         loop {
             // A buffer is acquired only once there is something to read: idle connections must not hold buffers.
             stream.readable().await?;
-            let mut buffer = self.pool.acquire_for_open_request().await;
+            let mut buffer = self.pool.acquire().await;
             let length = stream.read(buffer.spare_capacity()).await?;
             buffer.advance(length);
             if length == 0 {
--- a/crates/gateway/src/dispatcher/executor.rs
+++ b/crates/gateway/src/dispatcher/executor.rs
@@ -7,10 +7,9 @@
 use ironstair_cells::{CellDirectory, Cells};
 use ironstair_coordination::Share;
 use ironstair_data_tree::state::Counts;
-use ironstair_runtime::pool::BufferChain;
 use ironstair_runtime::{
     Attempt, DiscoveredEndpoint, DispatcherMessage, EngineMessage, Reply, RequestId, Shared,
-    UsedConnections,
+    Statement, UsedConnections,
 };
 use slog::info;
 use std::cell::Cell;
@@ -29,7 +28,7 @@
     pub(super) tenant: u64,
     /// When the client gives up or the process ends, whichever is earlier.
     pub(super) deadline: Millis,
-    pub(super) statement: Rc<BufferChain>,
+    pub(super) statement: Rc<Statement>,
     pub(super) idempotency_key: Option<Rc<str>>,
     pub(super) priority: Option<u8>,
     /// Receives the final answer; `None` once it is sent, or the client has cancelled the request.
--- a/crates/gateway/src/dispatcher_tests.rs
+++ b/crates/gateway/src/dispatcher_tests.rs
@@ -6,7 +6,11 @@
 use ironstair::{Actions, EndpointState, Millis};
 use ironstair_runtime::clock::Clock;
 use ironstair_runtime::pool::BufferPool;
-use ironstair_runtime::{ConnectionNumbers, DiscoveredEndpoint, EngineMessage, Metrics, Shared};
+use ironstair_runtime::receive_memory::ReceiveMemory;
+use ironstair_runtime::{
+    ConnectionNumbers, DiscoveredEndpoint, EngineMessage, Metrics, Shared, Statement,
+    StatementMemory,
+};
 use ironstair_settings::TransportConfig;
 use slog::{o, Discard, Logger};
 use std::cell::{Cell, RefCell};
@@ -27,6 +31,8 @@
     let shared = Rc::new(Shared {
         clock: Clock::start(),
         pool: BufferPool::with_capacity(1 << 16),
+        receive_memory: ReceiveMemory::with_capacity(1 << 16),
+        statement_memory: StatementMemory::with_capacity(1 << 16),
         classes: RefCell::default(),
         max_deadline: Cell::new(MAX_DEADLINE),
         metrics: Metrics::default(),
@@ -62,13 +68,14 @@
 }
 
 fn open_request() -> OpenRequest {
+    let statement = Statement::store(Vec::new(), &StatementMemory::with_capacity(0));
     OpenRequest {
         call_id: 1,
         class: 0,
         received_at: 0.0,
         tenant: 0,
         deadline: MAX_DEADLINE,
-        statement: Rc::default(),
+        statement: Rc::new(statement.unwrap()),
         idempotency_key: None,
         priority: None,
         reply_to: None,
--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -254,13 +254,11 @@
         idempotency_key: attempt.idempotency_key.as_deref(),
         time_remaining_ms: time_remaining as u64,
         priority: attempt.priority.get(),
-        statement_bytes: attempt.statement.byte_count(),
+        statement_bytes: attempt.statement.bytes().len(),
     };
     let mut bytes = Vec::new();
     command.write(&mut bytes);
-    for buffer in &attempt.statement.0 {
-        bytes.extend(buffer.bytes());
-    }
+    bytes.extend(attempt.statement.bytes());
     bytes.extend(lines::BODY_END);
     bytes
 }
--- a/crates/gateway/src/engine_tests.rs
+++ b/crates/gateway/src/engine_tests.rs
@@ -6,11 +6,12 @@
 use async_executor::LocalExecutor;
 use ironstair::{EndpointState, Millis, Outcome};
 use ironstair_runtime::clock::Clock;
-use ironstair_runtime::pool::{BufferChain, BufferPool};
+use ironstair_runtime::pool::BufferPool;
+use ironstair_runtime::receive_memory::ReceiveMemory;
 use ironstair_runtime::state_watch::ClassSummary;
 use ironstair_runtime::{
     Attempt, ConnectionNumbers, DispatcherMessage, EngineMessage, Metrics, RequestId, Shared,
-    UsedConnections,
+    Statement, StatementMemory, UsedConnections,
 };
 use ironstair_settings::TransportConfig;
 use slog::{o, Discard, Logger};
@@ -68,6 +69,8 @@
     Rc::new(Shared {
         clock: Clock::start(),
         pool: BufferPool::with_capacity(1 << 20),
+        receive_memory: ReceiveMemory::with_capacity(1 << 20),
+        statement_memory: StatementMemory::with_capacity(1 << 20),
         classes: RefCell::new(Rc::new(vec![class])),
         max_deadline: Cell::new(MAX_DEADLINE),
         metrics: Metrics::default(),
@@ -106,16 +109,13 @@
 
     /// Creates an attempt of the request with that number.
     fn new_attempt(&self, request: u8) -> Rc<Attempt> {
-        let mut statement = BufferChain::default();
-        let mut buffer = self.shared.pool.try_acquire().unwrap();
-        buffer.append(b"select 1");
-        statement.0.push(buffer);
+        let statement = Statement::store(b"select 1".to_vec(), &self.shared.statement_memory);
         let deadline = self.shared.clock.now() + 4000.0;
         let mut used_connections = self.used_connections.borrow_mut();
         Rc::new(Attempt {
             id: format!("{request:016x}").into_bytes().try_into().unwrap(),
             class: 0,
-            statement: Rc::new(statement),
+            statement: Rc::new(statement.unwrap()),
             idempotency_key: None,
             priority: Cell::new(None),
             deadline,
--- a/crates/gateway/src/server/initial_state.rs
+++ b/crates/gateway/src/server/initial_state.rs
@@ -14,15 +14,18 @@
 use ironstair_fleet_agent::fault_injection::{is_disabled, Guard};
 use ironstair_runtime::clock::Clock;
 use ironstair_runtime::pool::BufferPool;
+use ironstair_runtime::receive_memory::ReceiveMemory;
 use ironstair_runtime::state_watch::ClassSummary;
-use ironstair_runtime::{ConnectionNumbers, DispatcherMessage, Metrics, Shared};
+use ironstair_runtime::{ConnectionNumbers, DispatcherMessage, Metrics, Shared, StatementMemory};
 use slog::{warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-/// A third of the memory limit is for buffers. The rest is for memory that grows with them: joined statements, and
-/// responses that are being written.
-const MEMORY_PARTS: f64 = 3.0;
+/// The shares of the memory limit for replies of engines, statements of open requests, and incomplete messages of
+/// clients. The rest is for memory that grows with them: statements and responses that are being written.
+const REPLY_MEMORY_SHARE: f64 = 1.0 / 6.0;
+const STATEMENT_MEMORY_SHARE: f64 = 1.0 / 12.0;
+const RECEIVE_MEMORY_SHARE: f64 = 1.0 / 12.0;
 /// A quarter of the file descriptors are for connections to engines.
 const DESCRIPTORS_PER_ENGINE_CONNECTION: usize = 4;
 const BYTES_PER_MB: f64 = 1e6;
@@ -41,10 +44,12 @@
     dispatcher: Sender<DispatcherMessage>,
     log: Logger,
 ) -> Shared {
-    let buffer_bytes = config.memory_mb * BYTES_PER_MB / MEMORY_PARTS;
+    let share_bytes = |share| (config.memory_mb * BYTES_PER_MB * share) as usize;
     Shared {
         clock: Clock::start(),
-        pool: BufferPool::with_capacity(buffer_bytes as usize),
+        pool: BufferPool::with_capacity(share_bytes(REPLY_MEMORY_SHARE)),
+        receive_memory: ReceiveMemory::with_capacity(share_bytes(RECEIVE_MEMORY_SHARE)),
+        statement_memory: StatementMemory::with_capacity(share_bytes(STATEMENT_MEMORY_SHARE)),
         max_engine_connections: config.descriptors / DESCRIPTORS_PER_ENGINE_CONNECTION,
         connection_numbers: ConnectionNumbers::default(),
         endpoint_count: Cell::new(0),
--- a/crates/gateway/tests/serve/client_calls.rs
+++ b/crates/gateway/tests/serve/client_calls.rs
@@ -68,6 +68,11 @@
     let socket = other_client.0.get_mut();
     socket.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
     assert_eq!(other_client.receive()["error"]["code"], -32700);
+    assert_eq!(
+        other_client.receive_rows().0,
+        2,
+        "the call before the malformed frame is answered"
+    );
     assert_connection_closed(&mut other_client);
 }
 
--- a/crates/runtime/src/attempt.rs
+++ b/crates/runtime/src/attempt.rs
@@ -1,7 +1,7 @@
 //! An attempt on its way to an engine.
 
 use crate::messages::RequestId;
-use crate::pool::BufferChain;
+use crate::statement::Statement;
 use crate::used_connections::UsedConnections;
 use ironstair::{EndpointState, Millis};
 use std::cell::Cell;
@@ -18,7 +18,7 @@
     /// The index of the request's class.
     pub class: usize,
     /// The statement to run.
-    pub statement: Rc<BufferChain>,
+    pub statement: Rc<Statement>,
     /// The client's key by which engines recognize a repeated request of a deduplicated class.
     pub idempotency_key: Option<Rc<str>>,
     /// The priority at the engine, if engines honor priorities.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,8 +8,10 @@
 mod hash;
 mod messages;
 pub mod pool;
+pub mod receive_memory;
 mod shared;
 pub mod state_watch;
+mod statement;
 mod used_connections;
 pub mod wait;
 
@@ -19,4 +21,5 @@
     DiscoveredEndpoint, DispatcherMessage, EngineMessage, NewRequest, Reply, RequestId,
 };
 pub use shared::{Metrics, Shared};
+pub use statement::{Statement, StatementMemory};
 pub use used_connections::{ConnectionNumbers, UsedConnections};
--- a/crates/runtime/src/messages.rs
+++ b/crates/runtime/src/messages.rs
@@ -3,6 +3,7 @@
 use crate::attempt::Attempt;
 use crate::pool::{Buffer, BufferChain};
 use crate::state_watch::ManagementCommand;
+use crate::statement::Statement;
 use async_channel::Sender;
 use async_io::Async;
 use ironstair::{EndpointState, Millis, Outcome, Request};
@@ -70,7 +71,7 @@
     /// When the gateway received the request.
     pub received_at: Millis,
     /// The statement to run.
-    pub statement: BufferChain,
+    pub statement: Statement,
     /// The key by which engines recognize a repeated request of a deduplicated class.
     pub idempotency_key: Option<Rc<str>>,
     /// The channel that receives the final reply.
--- a/crates/runtime/src/pool.rs
+++ b/crates/runtime/src/pool.rs
@@ -2,7 +2,6 @@
 
 use crate::wait::wait_for;
 use event_listener::Event;
-use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -12,14 +11,6 @@
 /// The smallest pool: one buffer to read into and one to write from.
 const MIN_BUFFERS: usize = 2;
 
-/// New requests may use up to half of the pool. The other half is reserved for open requests: otherwise replies could
-/// wait for buffers that only these replies would release.
-const NEW_REQUEST_DIVISOR: usize = 2;
-
-/// Long messages may use up to a quarter of the pool: partly received ones must not take the buffers of all other
-/// messages.
-const LONG_MESSAGE_DIVISOR: usize = 4;
-
 /// A bounded pool of buffers.
 pub struct BufferPool {
     max_buffers: usize,
@@ -56,29 +47,9 @@
         }
     }
 
-    /// Takes a buffer for an open request; `None` if all are in use.
+    /// Takes a buffer; `None` if all are in use.
     pub fn try_acquire(self: &Rc<Self>) -> Option<Buffer> {
-        self.acquire_below(self.max_buffers)
-    }
-
-    /// Takes a buffer for a message that needs many of them; `None` if a quarter of the pool is in use.
-    pub fn try_acquire_for_long_message(self: &Rc<Self>) -> Option<Buffer> {
-        self.acquire_below(self.max_buffers / LONG_MESSAGE_DIVISOR)
-    }
-
-    /// Waits for a buffer for a new request, until less than half of the pool is in use.
-    pub async fn acquire(self: &Rc<Self>) -> Buffer {
-        let limit = self.max_buffers - self.max_buffers / NEW_REQUEST_DIVISOR;
-        wait_for(&self.released, || self.acquire_below(limit)).await
-    }
-
-    /// Waits for a buffer for an open request, until any buffer is free.
-    pub async fn acquire_for_open_request(self: &Rc<Self>) -> Buffer {
-        wait_for(&self.released, || self.try_acquire()).await
-    }
-
-    fn acquire_below(self: &Rc<Self>, limit: usize) -> Option<Buffer> {
-        if self.in_use.get() >= limit {
+        if self.in_use.get() >= self.max_buffers {
             return None;
         }
         self.in_use.set(self.in_use.get() + 1);
@@ -90,6 +61,11 @@
             pool: self.clone(),
         })
     }
+
+    /// Waits for a buffer.
+    pub async fn acquire(self: &Rc<Self>) -> Buffer {
+        wait_for(&self.released, || self.try_acquire()).await
+    }
 }
 
 /// A buffer from a pool: bytes are appended at the end and consumed from the front.
@@ -143,7 +119,7 @@
     }
 }
 
-/// A byte sequence that may span several buffers, such as a statement or the rows of a result.
+/// A byte sequence that may span several buffers, such as the rows of a result.
 #[derive(Default)]
 pub struct BufferChain(
     /// The buffers in order.
@@ -155,20 +131,6 @@
     pub fn byte_count(&self) -> usize {
         self.0.iter().map(|buffer| buffer.bytes().len()).sum()
     }
-
-    /// The bytes as one slice. They are copied unless there is exactly one buffer.
-    pub fn joined(&self) -> Cow<'_, [u8]> {
-        match &self.0[..] {
-            [buffer] => Cow::Borrowed(buffer.bytes()),
-            buffers => Cow::Owned(
-                buffers
-                    .iter()
-                    .flat_map(|buffer| buffer.bytes())
-                    .copied()
-                    .collect(),
-            ),
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/runtime/src/pool/tests.rs
+++ b/crates/runtime/src/pool/tests.rs
@@ -2,13 +2,12 @@
 use futures_lite::future::{block_on, poll_once};
 
 #[test]
-fn new_requests_wait_while_open_requests_still_get_buffers() {
+fn exhausted_pool_makes_readers_wait_until_a_buffer_is_released() {
     let pool = BufferPool::with_capacity(100 * BUFFER_SIZE);
-    let mut in_use: Vec<Buffer> = (0..50).filter_map(|_| pool.try_acquire()).collect();
-    assert!(block_on(poll_once(pool.acquire())).is_none());
-    in_use.extend((0..50).filter_map(|_| pool.try_acquire()));
+    let mut in_use: Vec<Buffer> = (0..100).filter_map(|_| pool.try_acquire()).collect();
     assert_eq!((in_use.len(), pool.try_acquire().is_none()), (100, true));
-    in_use.truncate(49);
+    assert!(block_on(poll_once(pool.acquire())).is_none());
+    in_use.truncate(99);
     assert!(block_on(poll_once(pool.acquire())).is_some());
 }
 
@@ -27,5 +26,5 @@
         .try_acquire()
         .unwrap();
     let chain = BufferChain(vec![buffer, empty]);
-    assert_eq!((chain.byte_count(), chain.joined().len()), (10, 10));
+    assert_eq!(chain.byte_count(), 10);
 }
--- a/crates/runtime/src/shared.rs
+++ b/crates/runtime/src/shared.rs
@@ -3,7 +3,9 @@
 use crate::clock::Clock;
 use crate::messages::DispatcherMessage;
 use crate::pool::BufferPool;
+use crate::receive_memory::ReceiveMemory;
 use crate::state_watch::ClassSummary;
+use crate::statement::StatementMemory;
 use crate::used_connections::ConnectionNumbers;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -21,8 +23,12 @@
 pub struct Shared {
     /// The gateway's clock.
     pub clock: Clock,
-    /// The buffers for requests and replies.
+    /// The buffers for engines' replies.
     pub pool: Rc<BufferPool>,
+    /// The memory for incomplete messages of clients.
+    pub receive_memory: Rc<ReceiveMemory>,
+    /// The memory for statements of open requests.
+    pub statement_memory: Rc<StatementMemory>,
     /// The classes, by the policy's index. Replaced as a whole when the configuration changes.
     pub classes: RefCell<Rc<Vec<ClassSummary>>>,
     /// The longest deadline that a request may have.
