--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -11,7 +11,7 @@
 use ironstair_runtime::{DiscoveredEndpoint, DispatcherMessage, Shared};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::io;
+use std::future::pending;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Instant;
@@ -69,11 +69,21 @@
     endpoints: BTreeMap<String, DiscoveredEndpoint>,
 }
 
-/// Tracks unanswered queries and malformed answers, to decide when to log and when to open a new socket.
-#[derive(Default)]
-struct QueryHealth {
+/// The queries, and the packets that arrive. It outlives a reload of the configuration file: otherwise reloads in quick
+/// succession would discard every answer that is under way.
+struct Queries {
+    socket: Async<UdpSocket>,
+    last_id: u16,
+    next_at: Instant,
     unanswered: u32,
-    malformed_logged: bool,
+    is_malformed_logged: bool,
+}
+
+/// What the actor handles next.
+enum Event {
+    Update(DiscoveryUpdate),
+    QueryDue,
+    Packet(ReceivedPacket),
 }
 
 /// Why a packet is not a valid answer of the name service.
@@ -88,30 +98,56 @@
 impl Discovery {
     /// Runs until the process ends. `updates` are sent when the configuration file is reloaded.
     pub(crate) async fn run(mut self, updates: Receiver<DiscoveryUpdate>) {
+        self.publish_source();
+        let mut queries = self.open_queries().await;
+        let mut packet = vec![0; dns::MAX_ANSWER_BYTES];
+        loop {
+            match queries.next_event(&updates, &mut packet).await {
+                Event::Update(update) => self.apply_update(update, &mut queries).await,
+                Event::QueryDue => self.send_query(&mut queries).await,
+                Event::Packet(received) => {
+                    let bytes = &packet[..received.length];
+                    self.on_packet(bytes, received.sender, &mut queries).await;
+                }
+            }
+        }
+    }
+
+    /// Opens a socket, and tries again as long as no descriptor is available.
+    async fn open_queries(&self) -> Queries {
         loop {
-            let updated = async { updates.recv().await.ok() };
-            // An update drops this future, and with it the socket for the old address, so that a late answer from there
-            // cannot replace the new list.
-            let queries = async {
-                if let Err(error) = self.query_repeatedly().await {
+            match Async::<UdpSocket>::bind((self.local_address, 0)) {
+                Ok(socket) => return Queries::new(socket),
+                Err(error) => {
                     warn!(self.log, "cannot open a socket for name service queries"; "error" => %error);
                     Timer::after(duration(QUERY_INTERVAL)).await;
                 }
-                None
-            };
-            if let Some(update) = or(updated, queries).await {
-                info!(self.log, "name service settings updated"; "address" => update.name_service);
-                self.name_service = update.name_service;
-                self.name_index = update.name_index;
-                self.on_list(EndpointList {
-                    serial: update.serial,
-                    endpoints: update.endpoints,
-                })
-                .await;
             }
         }
     }
 
+    /// Applies the part of a reloaded file that concerns discovery. Answers that are under way still count, unless they
+    /// come from an address that is not the name service's any more.
+    async fn apply_update(&mut self, update: DiscoveryUpdate, queries: &mut Queries) {
+        info!(self.log, "name service settings updated"; "address" => update.name_service);
+        if self.name_service != update.name_service {
+            self.name_service = update.name_service;
+            self.publish_source();
+            queries.restart();
+        }
+        self.name_index = update.name_index;
+        self.on_list(EndpointList {
+            serial: update.serial,
+            endpoints: update.endpoints,
+        })
+        .await;
+    }
+
+    fn publish_source(&self) {
+        let source = format!("dns {}", self.name_service);
+        self.shared.metrics.discovery_source.replace(source);
+    }
+
     /// Sends a list to the dispatcher and the snapshot store, unless the dispatcher has the same or a newer one.
     async fn on_list(&mut self, list: EndpointList) {
         if list.serial <= self.serial {
@@ -121,66 +157,40 @@
             store.update_endpoints(list.serial, &list.endpoints, &self.name_index);
         }
         let message = DispatcherMessage::Endpoints(list.endpoints);
-        // The serial is recorded last: an update of the configuration may cancel this function while the dispatcher's
-        // queue is full, and the list must then not count as sent.
         if self.dispatcher.send(message).await.is_ok() {
             self.serial = list.serial;
             self.shared.metrics.endpoint_list_serial.set(list.serial);
         }
     }
 
-    /// Queries the name service until it is cancelled.
-    ///
-    /// # Errors
-    /// No socket could be bound.
-    async fn query_repeatedly(&mut self) -> io::Result<()> {
-        let mut socket = Async::<UdpSocket>::bind((self.local_address, 0))?;
-        let source = format!("dns {}", self.name_service);
-        self.shared.metrics.discovery_source.replace(source);
+    /// Sends the next query.
+    async fn send_query(&self, queries: &mut Queries) {
+        queries.last_id = queries.last_id.wrapping_add(1);
+        queries.next_at = Instant::now() + duration(QUERY_INTERVAL);
         let mut query = Vec::new();
-        let mut packet = vec![0; dns::MAX_ANSWER_BYTES];
-        let mut health = QueryHealth::default();
-        for id in (0..=u16::MAX).cycle() {
-            query.clear();
-            dns::write_query(&mut query, id, SERVICE_NAME);
-            // A failed send is treated as a lost query; the next one follows after the interval.
-            let _ = socket.send_to(&query, self.name_service).await;
-            health.unanswered += 1;
-            if health.unanswered == UNANSWERED_BEFORE_WARNING {
-                warn!(self.log, "name service not answering"; "unanswered" => health.unanswered);
-            }
-            if health
-                .unanswered
-                .is_multiple_of(UNANSWERED_BEFORE_NEW_SOCKET)
-            {
-                // If no descriptor is available, the old socket stays in use.
-                if let Ok(new_socket) = Async::<UdpSocket>::bind((self.local_address, 0)) {
-                    socket = new_socket;
-                }
-            }
-            let next_query_at = Instant::now() + duration(QUERY_INTERVAL);
-            while let Some(received) = receive(&socket, &mut packet, next_query_at).await {
-                let bytes = &packet[..received.length];
-                self.on_packet(bytes, received.sender, id, &mut health)
-                    .await;
+        dns::write_query(&mut query, queries.last_id, SERVICE_NAME);
+        // A failed send is treated as a lost query; the next one follows after the interval.
+        let _ = queries.socket.send_to(&query, self.name_service).await;
+        queries.unanswered += 1;
+        if queries.unanswered == UNANSWERED_BEFORE_WARNING {
+            warn!(self.log, "name service not answering"; "unanswered" => queries.unanswered);
+        }
+        if queries
+            .unanswered
+            .is_multiple_of(UNANSWERED_BEFORE_NEW_SOCKET)
+        {
+            // If no descriptor is available, the old socket stays in use.
+            if let Ok(socket) = Async::<UdpSocket>::bind((self.local_address, 0)) {
+                queries.socket = socket;
             }
-            Timer::at(next_query_at).await;
         }
-        Ok(())
     }
 
-    /// Handles a packet that was received after the query with the id `last_id` was sent.
-    async fn on_packet(
-        &mut self,
-        packet: &[u8],
-        sender: SocketAddr,
-        last_id: u16,
-        health: &mut QueryHealth,
-    ) {
-        let list = match self.read_list(packet, sender, last_id) {
+    async fn on_packet(&mut self, packet: &[u8], sender: SocketAddr, queries: &mut Queries) {
+        let list = match self.read_list(packet, sender, queries.last_id) {
             Ok(list) => list,
             Err(error) => {
-                if !std::mem::replace(&mut health.malformed_logged, true) {
+                if !std::mem::replace(&mut queries.is_malformed_logged, true) {
                     warn!(
                         self.log, "invalid name service answer";
                         "error" => %error, "bytes" => packet.len(), "address" => sender
@@ -189,7 +199,7 @@
                 return;
             }
         };
-        if std::mem::take(&mut health.unanswered) >= UNANSWERED_BEFORE_WARNING {
+        if std::mem::take(&mut queries.unanswered) >= UNANSWERED_BEFORE_WARNING {
             info!(self.log, "name service answering again");
         }
         let now = self.shared.clock.now();
@@ -222,21 +232,45 @@
     sender: SocketAddr,
 }
 
-/// Receives the next packet; `None` if `deadline` comes first.
-async fn receive(
-    socket: &Async<UdpSocket>,
-    buffer: &mut [u8],
-    deadline: Instant,
-) -> Option<ReceivedPacket> {
-    let received = async {
-        let (length, sender) = socket.recv_from(buffer).await.ok()?;
-        Some(ReceivedPacket { length, sender })
-    };
-    let expired = async {
-        Timer::at(deadline).await;
-        None
-    };
-    or(received, expired).await
+impl Queries {
+    fn new(socket: Async<UdpSocket>) -> Self {
+        Queries {
+            socket,
+            last_id: u16::MAX,
+            next_at: Instant::now(),
+            unanswered: 0,
+            is_malformed_logged: false,
+        }
+    }
+
+    /// The name service has another address: it is queried at once, and has not left a query unanswered yet.
+    fn restart(&mut self) {
+        self.next_at = Instant::now();
+        self.unanswered = 0;
+        self.is_malformed_logged = false;
+    }
+
+    /// Waits for the next event; a packet is stored in `buffer`.
+    async fn next_event(&self, updates: &Receiver<DiscoveryUpdate>, buffer: &mut [u8]) -> Event {
+        let updated = async {
+            match updates.recv().await {
+                Ok(update) => Event::Update(update),
+                Err(_) => pending().await,
+            }
+        };
+        let query_due = async {
+            Timer::at(self.next_at).await;
+            Event::QueryDue
+        };
+        let received = async {
+            match self.socket.recv_from(buffer).await {
+                Ok((length, sender)) => Event::Packet(ReceivedPacket { length, sender }),
+                // The error belongs to an earlier query, which counts as unanswered.
+                Err(_) => pending().await,
+            }
+        };
+        or(updated, or(query_due, received)).await
+    }
 }
 
 fn endpoint(host: &dns::Host, index: &NameIndex) -> DiscoveredEndpoint {
--- a/crates/gateway/tests/serve/name_service.rs
+++ b/crates/gateway/tests/serve/name_service.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{change_name_service_address, engine_with_rows};
 use ironstair_test_cluster::stub::{
-    self, allocate_address, becomes_true, engine_list_answer, start_name_service, Client,
+    self, allocate_address, becomes_true, engine_list_answer, start_name_service,
+    start_slow_name_service, Client,
 };
 use std::net::{SocketAddr, UdpSocket};
 use std::thread;
@@ -135,3 +136,26 @@
     change_name_service_address(&gateway, name_service_with_late_answers(new_engine));
     assert!(client.eventually_receives(NEW_ROW));
 }
+
+#[test]
+fn reloads_in_quick_succession_lose_no_answer_of_a_slow_name_service() {
+    // Each reload used to discard the queries that were under way. If reloads came faster than the answers, the gateway
+    // heard of no drain until the last of them.
+    let (old_engine, _) = engine_with_rows(OLD_ROW);
+    let (new_engine, _) = engine_with_rows(NEW_ROW);
+    let gateway = stub::start_gateway("reloads", &[("e1", old_engine)]);
+    let mut client = SequentialClient::new(&gateway);
+    assert_eq!(client.call_for_rows(), OLD_ROW);
+    let (name_service, name_answer) = start_slow_name_service(Duration::from_millis(900));
+    change_name_service_address(&gateway, name_service);
+
+    *name_answer.lock().unwrap() =
+        engine_list_answer(2, &[("e1", old_engine, 1), ("e2", new_engine, 0)]);
+    let follows_new_list = becomes_true(|| {
+        gateway.signal("-HUP");
+        thread::sleep(Duration::from_millis(300));
+        client.call_for_rows() == NEW_ROW
+    });
+
+    assert!(follows_new_list);
+}
--- a/crates/test-cluster/src/stub.rs
+++ b/crates/test-cluster/src/stub.rs
@@ -20,7 +20,8 @@
 pub use late_listener::{FullListener, OpenedListener};
 pub use manual_engine::{ManualEngine, ReceivedCommand};
 pub use name_service::{
-    append_domain_name, engine_list_answer, start_name_service, NameServiceAnswer,
+    append_domain_name, engine_list_answer, start_name_service, start_slow_name_service,
+    NameServiceAnswer,
 };
 pub use run_log::{Attempt, RunLog};
 
--- a/crates/test-cluster/src/stub/name_service.rs
+++ b/crates/test-cluster/src/stub/name_service.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 /// The answer to every query, without the two bytes of the query id. Empty for a service without a list.
 pub type NameServiceAnswer = Arc<Mutex<Vec<u8>>>;
@@ -105,6 +106,15 @@
 ///
 /// If no loopback port can be bound.
 pub fn start_name_service() -> (SocketAddr, NameServiceAnswer) {
+    start_slow_name_service(Duration::ZERO)
+}
+
+/// As [`start_name_service`], but each answer is sent this long after its query, with the list of that moment.
+///
+/// # Panics
+///
+/// If no loopback port can be bound.
+pub fn start_slow_name_service(delay: Duration) -> (SocketAddr, NameServiceAnswer) {
     let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = socket.local_addr().expect("a bound socket has an address");
     let name_answer = NameServiceAnswer::default();
@@ -112,14 +122,39 @@
     thread::spawn(move || {
         let mut query = [0; MAX_QUERY_LENGTH];
         while let Ok((_, client)) = socket.recv_from(&mut query) {
-            let answer = shared
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone();
-            let message = [&query[..2], &answer].concat();
-            // The gateway repeats a query whose answer is lost.
-            let _ = socket.send_to(&message, client);
+            let pending = PendingQuery {
+                socket: socket.try_clone().expect("a socket can be duplicated"),
+                id: [query[0], query[1]],
+                client,
+                answer: Arc::clone(&shared),
+            };
+            match delay.is_zero() {
+                true => pending.answer(),
+                false => {
+                    thread::spawn(move || {
+                        thread::sleep(delay);
+                        pending.answer();
+                    });
+                }
+            }
         }
     });
     (address, name_answer)
 }
+
+/// A query that is answered after the service's delay.
+struct PendingQuery {
+    socket: UdpSocket,
+    id: [u8; 2],
+    client: SocketAddr,
+    answer: NameServiceAnswer,
+}
+
+impl PendingQuery {
+    fn answer(&self) {
+        let answer = self.answer.lock().unwrap_or_else(PoisonError::into_inner);
+        let message = [&self.id[..], &answer[..]].concat();
+        // The gateway repeats a query whose answer is lost.
+        let _ = self.socket.send_to(&message, self.client);
+    }
+}
