--- a/crates/gateway/src/client/call.rs
+++ b/crates/gateway/src/client/call.rs
@@ -17,7 +17,7 @@
 const MAX_MEMORY_MB: f64 = 1e8;
 /// Largest retry count that is accepted; no client retries so often.
 const MAX_RETRY_COUNT: f64 = 1e4;
-/// Largest remaining time that is accepted, as a multiple of the longest hard limit: clients may compute it
+/// Largest remaining time that is accepted, as a multiple of the longest hard limit since the start: clients may compute it
 /// differently.
 const MAX_TIME_REMAINING_FACTOR: f64 = 2.0;
 /// Characters and bytes of a group in base64 text.
@@ -206,7 +206,7 @@
         };
         let id = params.string("id").as_deref().and_then(parse_request_id);
         let id = id.ok_or_else(invalid_params)?;
-        let max_time_remaining = MAX_TIME_REMAINING_FACTOR * self.shared.max_deadline.get();
+        let max_time_remaining = MAX_TIME_REMAINING_FACTOR * self.shared.longest_deadline.get();
         let time_remaining = number("wait", max_time_remaining)?;
         let time_remaining = time_remaining.filter(|time| *time > 0.0);
         let time_remaining = time_remaining.ok_or_else(invalid_params)?;
--- a/crates/gateway/src/client/writer.rs
+++ b/crates/gateway/src/client/writer.rs
@@ -41,7 +41,7 @@
                 continue;
             }
             // A client must read a reply within the longest deadline that a request may have.
-            let time_limit = self.shared.max_deadline.get();
+            let time_limit = self.shared.longest_deadline.get();
             timeout(time_limit, write_reply(stream, &mut output, reply)).await?;
             self.is_writing.set(false);
             self.finish_call(call, true);
--- a/crates/gateway/src/dispatcher/config_update.rs
+++ b/crates/gateway/src/dispatcher/config_update.rs
@@ -13,7 +13,7 @@
     pub(super) fn update_config(&mut self, update: ConfigUpdate) {
         let shared = self.executor.shared.clone();
         shared.classes.replace(Rc::new(update.classes));
-        shared.max_deadline.set(update.max_deadline);
+        shared.set_max_deadline(update.max_deadline);
         if let Some(transport_config) = update.transport_config {
             shared.transport_config.replace(Rc::new(transport_config));
         }
--- a/crates/gateway/src/dispatcher_tests.rs
+++ b/crates/gateway/src/dispatcher_tests.rs
@@ -35,6 +35,7 @@
         statement_memory: StatementMemory::with_capacity(1 << 16),
         classes: RefCell::default(),
         max_deadline: Cell::new(MAX_DEADLINE),
+        longest_deadline: Cell::new(MAX_DEADLINE),
         metrics: Metrics::default(),
         accepts_tenant_names: false,
         transport_config: RefCell::new(Rc::new(transport_config)),
--- a/crates/gateway/src/engine_tests.rs
+++ b/crates/gateway/src/engine_tests.rs
@@ -73,6 +73,7 @@
         statement_memory: StatementMemory::with_capacity(1 << 20),
         classes: RefCell::new(Rc::new(vec![class])),
         max_deadline: Cell::new(MAX_DEADLINE),
+        longest_deadline: Cell::new(MAX_DEADLINE),
         metrics: Metrics::default(),
         accepts_tenant_names: false,
         transport_config: RefCell::new(Rc::new(transport_config)),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -83,6 +83,7 @@
         accepts_tenant_names: names_tenants(operator),
         classes: RefCell::new(Rc::new(policy.classes)),
         max_deadline: Cell::new(policy.max_deadline),
+        longest_deadline: Cell::new(policy.max_deadline),
         ..new_shared(&config, dispatcher, log)
     });
     let snapshot_store =
--- a/crates/gateway/src/server/initial_state.rs
+++ b/crates/gateway/src/server/initial_state.rs
@@ -56,6 +56,7 @@
         lease_until: Cell::new(Millis::INFINITY),
         classes: RefCell::default(),
         max_deadline: Cell::new(0.0),
+        longest_deadline: Cell::new(0.0),
         metrics: Metrics::default(),
         accepts_tenant_names: false,
         transport_config: RefCell::new(Rc::new(config.transport_config.clone())),
--- a/crates/gateway/tests/switch/main.rs
+++ b/crates/gateway/tests/switch/main.rs
@@ -4,6 +4,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod closed_class;
 mod invalid_files;
 mod reload;
 mod reload_under_load;
--- a/crates/runtime/src/shared.rs
+++ b/crates/runtime/src/shared.rs
@@ -31,8 +31,11 @@
     pub statement_memory: Rc<StatementMemory>,
     /// The classes, by the policy's index. Replaced as a whole when the configuration changes.
     pub classes: RefCell<Rc<Vec<ClassSummary>>>,
-    /// The longest deadline that a request may have.
+    /// The longest hard limit of the classes in service.
     pub max_deadline: Cell<Millis>,
+    /// The longest hard limit that a class has had since the start. Calls and replies of a class that a reload closed,
+    /// or gave a shorter limit, stay valid.
+    pub longest_deadline: Cell<Millis>,
     /// The settings of connections. Replaced as a whole when a reloaded configuration file changes them.
     pub transport_config: RefCell<Rc<TransportConfig>>,
     /// Whether requests may name their tenant.
@@ -85,6 +88,13 @@
         self.transport_config.borrow().clone()
     }
 
+    /// Replaces the longest hard limit of the classes in service.
+    pub fn set_max_deadline(&self, max_deadline: Millis) {
+        self.max_deadline.set(max_deadline);
+        let longest = self.longest_deadline.get().max(max_deadline);
+        self.longest_deadline.set(longest);
+    }
+
     /// Whether the lease is valid now.
     pub fn holds_lease(&self) -> bool {
         self.clock.now() < self.lease_until.get()
@@ -92,6 +102,6 @@
 
     /// The largest amount of work that a client may estimate or an engine may report.
     pub fn max_work(&self) -> Millis {
-        MAX_WORK_FACTOR * self.max_deadline.get()
+        MAX_WORK_FACTOR * self.longest_deadline.get()
     }
 }
