--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,17 +1,19 @@
 //! The discovery actor, which queries the name service and sends changes of the endpoint list to the dispatcher.
 
+mod queries;
+
 use crate::snapshot_store::SnapshotStore;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use futures_lite::future::or;
+use futures_lite::future::yield_now;
 use ironstair::{EndpointState, Millis};
 use ironstair_config_change::NameIndex;
 use ironstair_protocol::dns::{self, AnswerError};
 use ironstair_runtime::clock::duration;
 use ironstair_runtime::{DiscoveredEndpoint, DispatcherMessage, Shared};
+use queries::{Event, Queries};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
-use std::future::pending;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Instant;
@@ -21,15 +23,11 @@
 /// The time between two queries, in ms. The gateway must act on a change within 1.5 s, which is enough for several
 /// queries, so that a few lost answers do no harm.
 const QUERY_INTERVAL: Millis = 200.0;
-/// How many of the latest queries count as pending, since an answer may take longer than the interval. An answer to an
-/// older query would arrive after the 1.5 s within which a change must take effect.
-const MAX_PENDING_QUERIES: u16 = 8;
+/// How many of the latest queries count as pending. However late an answer is, its list is news if its serial number is
+/// higher than that of the list in use.
+const MAX_PENDING_QUERIES: u16 = 1024;
 /// The number of consecutive unanswered queries after which a warning is logged.
 const UNANSWERED_BEFORE_WARNING: u32 = 10;
-/// The number of consecutive unanswered queries after which a new socket is opened, since a network path may have
-/// failed for the old socket's port only. It exceeds the number of pending queries, so that no answer to one of them is
-/// lost.
-const UNANSWERED_BEFORE_NEW_SOCKET: u32 = 2 * MAX_PENDING_QUERIES as u32;
 
 /// The part of a reloaded configuration file that concerns discovery.
 pub(crate) struct DiscoveryUpdate {
@@ -69,23 +67,6 @@
     endpoints: BTreeMap<String, DiscoveredEndpoint>,
 }
 
-/// The queries, and the packets that arrive. It outlives a reload of the configuration file: otherwise reloads in quick
-/// succession would discard every answer that is under way.
-struct Queries {
-    socket: Async<UdpSocket>,
-    last_id: u16,
-    next_at: Instant,
-    unanswered: u32,
-    is_malformed_logged: bool,
-}
-
-/// What the actor handles next.
-enum Event {
-    Update(DiscoveryUpdate),
-    QueryDue,
-    Packet(ReceivedPacket),
-}
-
 /// Why a packet is not a valid answer of the name service.
 #[derive(Debug, thiserror::Error)]
 enum PacketError {
@@ -108,6 +89,8 @@
                 Event::Packet(received) => {
                     let bytes = &packet[..received.length];
                     self.on_packet(bytes, received.sender, &mut queries).await;
+                    // Packets that arrive without a pause must not keep the other tasks from running.
+                    yield_now().await;
                 }
             }
         }
@@ -171,17 +154,14 @@
         dns::write_query(&mut query, queries.last_id, SERVICE_NAME);
         // A failed send is treated as a lost query; the next one follows after the interval.
         let _ = queries.socket.send_to(&query, self.name_service).await;
-        queries.unanswered += 1;
-        if queries.unanswered == UNANSWERED_BEFORE_WARNING {
-            warn!(self.log, "name service not answering"; "unanswered" => queries.unanswered);
+        let unanswered = queries.on_query();
+        if unanswered == UNANSWERED_BEFORE_WARNING {
+            warn!(self.log, "name service not answering"; "unanswered" => unanswered);
         }
-        if queries
-            .unanswered
-            .is_multiple_of(UNANSWERED_BEFORE_NEW_SOCKET)
-        {
+        if queries.needs_another_socket() {
             // If no descriptor is available, the old socket stays in use.
             if let Ok(socket) = Async::<UdpSocket>::bind((self.local_address, 0)) {
-                queries.socket = socket;
+                queries.change_socket(socket);
             }
         }
     }
@@ -199,7 +179,7 @@
                 return;
             }
         };
-        if std::mem::take(&mut queries.unanswered) >= UNANSWERED_BEFORE_WARNING {
+        if queries.on_answer() >= UNANSWERED_BEFORE_WARNING {
             info!(self.log, "name service answering again");
         }
         let now = self.shared.clock.now();
@@ -226,53 +206,6 @@
     }
 }
 
-/// Length and sender of a packet that was received into a buffer.
-struct ReceivedPacket {
-    length: usize,
-    sender: SocketAddr,
-}
-
-impl Queries {
-    fn new(socket: Async<UdpSocket>) -> Self {
-        Queries {
-            socket,
-            last_id: u16::MAX,
-            next_at: Instant::now(),
-            unanswered: 0,
-            is_malformed_logged: false,
-        }
-    }
-
-    /// The name service has another address: it is queried at once, and has not left a query unanswered yet.
-    fn restart(&mut self) {
-        self.next_at = Instant::now();
-        self.unanswered = 0;
-        self.is_malformed_logged = false;
-    }
-
-    /// Waits for the next event; a packet is stored in `buffer`.
-    async fn next_event(&self, updates: &Receiver<DiscoveryUpdate>, buffer: &mut [u8]) -> Event {
-        let updated = async {
-            match updates.recv().await {
-                Ok(update) => Event::Update(update),
-                Err(_) => pending().await,
-            }
-        };
-        let query_due = async {
-            Timer::at(self.next_at).await;
-            Event::QueryDue
-        };
-        let received = async {
-            match self.socket.recv_from(buffer).await {
-                Ok((length, sender)) => Event::Packet(ReceivedPacket { length, sender }),
-                // The error belongs to an earlier query, which counts as unanswered.
-                Err(_) => pending().await,
-            }
-        };
-        or(updated, or(query_due, received)).await
-    }
-}
-
 fn endpoint(host: &dns::Host, index: &NameIndex) -> DiscoveredEndpoint {
     let number = |name: &str| {
         let number = host.attribute(name).and_then(|text| text.parse().ok());
--- a/crates/gateway/tests/serve/name_service.rs
+++ b/crates/gateway/tests/serve/name_service.rs
@@ -159,3 +159,27 @@
 
     assert!(follows_new_list);
 }
+
+#[test]
+fn answers_that_take_seconds_are_heard() {
+    // What a slow name service says is late, but the newest news that there is. Answers to older queries were dropped,
+    // and so were those to a socket that the gateway had given up: then it heard nothing for as long as the name service
+    // stayed slow.
+    for (test, delay_ms) in [("slow-2s", 2000), ("slow-4s", 4000)] {
+        let (old_engine, _) = engine_with_rows(OLD_ROW);
+        let (new_engine, _) = engine_with_rows(NEW_ROW);
+        let gateway = stub::start_gateway(test, &[("e1", old_engine)]);
+        let mut client = SequentialClient::new(&gateway);
+        assert_eq!(client.call_for_rows(), OLD_ROW);
+        let (name_service, name_answer) = start_slow_name_service(Duration::from_millis(delay_ms));
+        *name_answer.lock().unwrap() = engine_list_answer(2, &[("e2", new_engine, 0)]);
+        change_name_service_address(&gateway, name_service);
+        let mut follows_new_list = || client.eventually_receives(NEW_ROW);
+        assert!(follows_new_list() || follows_new_list(), "{test}");
+
+        // Answers keep being heard while they stay as late.
+        *name_answer.lock().unwrap() = engine_list_answer(3, &[("e1", old_engine, 0)]);
+        let mut follows_third_list = || client.eventually_receives(OLD_ROW);
+        assert!(follows_third_list() || follows_third_list(), "{test}");
+    }
+}
