--- a/crates/gateway/src/client/call.rs
+++ b/crates/gateway/src/client/call.rs
@@ -11,6 +11,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// The names of a request's parameters.
+const REQUEST_PARAMS: [&str; 8] = [
+    "id", "wait", "retry", "cost", "ram", "once", "bytes", "tenant",
+];
 /// Longest idempotency key that is accepted, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 64;
 /// Largest memory estimate that is accepted, in MB; no request needs so much.
@@ -32,6 +36,7 @@
     memory_mb: Option<f64>,
     retry_count: Option<f64>,
     idempotency_key: Option<Rc<str>>,
+    tenant: Option<u64>,
     statement: Statement,
 }
 
@@ -159,7 +164,7 @@
             id: params.id,
             call_id,
             request,
-            tenant: self.tenant(call.params),
+            tenant: params.tenant,
             received_at,
             statement: params.statement,
             idempotency_key: params.idempotency_key,
@@ -195,6 +200,7 @@
     }
 
     fn request_params(&self, call_id: u64, params: Params) -> Result<RequestParams, RequestError> {
+        let params = params.select(REQUEST_PARAMS);
         let invalid_params = || CallError {
             call_id: Some(call_id),
             code: ErrorCode::InvalidParams,
@@ -227,16 +233,15 @@
             memory_mb,
             retry_count,
             idempotency_key,
+            tenant: self.tenant(params.string("tenant").as_deref()),
             statement,
         })
     }
 
     /// The tenant that the client names, if the operator allows clients to name it.
-    fn tenant(&self, params: Params) -> Option<u64> {
-        if !self.shared.accepts_tenant_names {
-            return None;
-        }
-        params.string("tenant").map(|name| fnv1a_64(&name))
+    fn tenant(&self, name: Option<&[u8]>) -> Option<u64> {
+        let name = name.filter(|_| self.shared.accepts_tenant_names)?;
+        Some(fnv1a_64(name))
     }
 
     /// Decodes a statement; `None` if the text is not base64.
--- a/crates/protocol/src/rpc.rs
+++ b/crates/protocol/src/rpc.rs
@@ -113,10 +113,21 @@
     Ok(Some(length))
 }
 
-/// A call's parameters. Each is looked up by name in the message, without a copy.
+/// A call's parameters. Each look-up by name reads the message; [`Params::select`] reads it once for several names.
 #[derive(Clone, Copy, Debug)]
 pub struct Params<'a>(&'a [u8]);
 
+/// The parameters with some names, without a copy.
+#[derive(Clone, Debug)]
+pub struct SelectedParams<'a, const N: usize> {
+    names: [&'static str; N],
+    values: [Option<RawValue<'a>>; N],
+}
+
+/// The JSON text of a parameter's value.
+#[derive(Clone, Copy, Debug)]
+struct RawValue<'a>(&'a [u8]);
+
 /// A parameter is present, but not a number within its bounds.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 #[error("parameter is not a number from 0 to {max}")]
@@ -125,34 +136,67 @@
     pub max: f64,
 }
 
+impl<'a> RawValue<'a> {
+    fn string(self) -> Option<Cow<'a, [u8]>> {
+        Reader::new(self.0).string()
+    }
+
+    fn number(self) -> Option<f64> {
+        Reader::new(self.0).number()
+    }
+
+    fn unsigned(self) -> Option<u64> {
+        Reader::new(self.0).unsigned()
+    }
+
+    fn bounded_number(self, max: f64) -> Result<f64, OutOfBounds> {
+        let number = self.number();
+        let within_bounds = number.filter(|number| (0.0..=max).contains(number));
+        within_bounds.ok_or(OutOfBounds { max })
+    }
+}
+
 impl<'a> Params<'a> {
-    fn find<T>(&self, name: &str, read: impl Fn(&mut Reader<'a>) -> Option<T>) -> Option<T> {
+    /// Reads the message once and keeps the values with these names. If a name occurs more than once, its last value
+    /// counts.
+    pub fn select<const N: usize>(&self, names: [&'static str; N]) -> SelectedParams<'a, N> {
+        let mut values = [None; N];
+        // A syntax error is impossible: `read_call` has already read the whole message.
+        Reader::new(self.0).object(|key, reader| {
+            let value = RawValue(reader.raw_value()?);
+            if let Some(index) = names.iter().position(|name| key == name.as_bytes()) {
+                values[index] = Some(value);
+            }
+            Some(())
+        });
+        SelectedParams { names, values }
+    }
+
+    fn value(&self, name: &str) -> Option<RawValue<'a>> {
         let mut found = None;
-        // Stops at a parameter whose value is of another type. This can't hide a syntax error: `read_call` has already
-        // read the whole message.
         Reader::new(self.0).object(|key, reader| {
+            let value = RawValue(reader.raw_value()?);
             if key == name.as_bytes() {
-                found = Some(read(reader)?);
-                return Some(());
+                found = Some(value);
             }
-            reader.skip_value()
+            Some(())
         });
         found
     }
 
     /// The string with this name; `None` if it is missing or of another type.
     pub fn string(&self, name: &str) -> Option<Cow<'a, [u8]>> {
-        self.find(name, Reader::string)
+        self.value(name)?.string()
     }
 
     /// The number with this name; `None` if it is missing or of another type.
     pub fn number(&self, name: &str) -> Option<f64> {
-        self.find(name, Reader::number)
+        self.value(name)?.number()
     }
 
     /// The whole number of at least 0 with this name; `None` if it is missing or of another type.
     pub fn unsigned(&self, name: &str) -> Option<u64> {
-        self.find(name, Reader::unsigned)
+        self.value(name)?.unsigned()
     }
 
     /// The number with this name; `None` only if it is missing.
@@ -161,11 +205,30 @@
     /// Fails if the parameter is present, but not a number from 0 to `max`. If such a value were taken for missing, a
     /// default would replace it without the client's knowledge.
     pub fn bounded_number(&self, name: &str, max: f64) -> Result<Option<f64>, OutOfBounds> {
-        match self.number(name) {
-            Some(number) if (0.0..=max).contains(&number) => Ok(Some(number)),
-            None if self.find(name, Reader::skip_value).is_none() => Ok(None),
-            _ => Err(OutOfBounds { max }),
-        }
+        let value = self.value(name);
+        value.map(|value| value.bounded_number(max)).transpose()
+    }
+}
+
+impl<'a, const N: usize> SelectedParams<'a, N> {
+    /// `None` also for a name that was not selected.
+    fn value(&self, name: &str) -> Option<RawValue<'a>> {
+        let index = self.names.iter().position(|selected| *selected == name)?;
+        self.values[index]
+    }
+
+    /// As [`Params::string`].
+    pub fn string(&self, name: &str) -> Option<Cow<'a, [u8]>> {
+        self.value(name)?.string()
+    }
+
+    /// As [`Params::bounded_number`].
+    ///
+    /// # Errors
+    /// Fails if the parameter is present, but not a number from 0 to `max`.
+    pub fn bounded_number(&self, name: &str, max: f64) -> Result<Option<f64>, OutOfBounds> {
+        let value = self.value(name);
+        value.map(|value| value.bounded_number(max)).transpose()
     }
 }
 
