Arrivals for the retry budget are dropped while no attempt starts

At a usual rate it is 8 bytes a request until an engine is ready.

Cause: the policy dropped old arrivals only when it counted an attempt, and kept them without a retry budget, too.

Change: old arrivals are dropped when the next one comes, and none is kept without a budget.

--- a/crates/gateway/tests/floods/floods.rs
+++ b/crates/gateway/tests/floods/floods.rs
@@ -6,7 +6,9 @@
 use crate::{peak_memory_kb, run_alone};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use ironstair_test_cluster::stub::{framed, start_gateway, Client, Gateway, REJECTED};
+use ironstair_test_cluster::stub::{
+    engine_list_answer, framed, start_gateway, Client, Gateway, REJECTED,
+};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,6 +28,9 @@
 /// The memory limit of the gateways, in kB.
 const MEMORY_LIMIT_KB: u64 = 192_000;
 
+/// Growth of the memory, in kB, that a longer flood may cause: caches of the allocator, for instance.
+const MAX_GROWTH_KB: u64 = 1000;
+
 /// Writes the messages of one batch, given the number of the first.
 type WriteBatch = fn(u64) -> String;
 
@@ -211,3 +216,30 @@
 fn regular_client_is_answered_beside_a_flood_of_malformed_messages() {
     assert_served_beside("flood-malformed", malformed_messages);
 }
+
+#[test]
+fn memory_does_not_grow_with_requests_of_which_none_is_sent() {
+    // The arrivals that the retry budget counts were dropped only when an attempt started. While no engine is ready none
+    // does, and a flood filled the memory.
+    let _running = run_alone();
+    let (engine, _) = engine_with_rows(ROW);
+    let gateway = start_gateway("flood-outage", &[("e1", engine)]);
+    drop(Client::connect(&gateway));
+    *gateway.name_answer.lock().unwrap() = engine_list_answer(2, &[("e1", engine, 1)]);
+    thread::sleep(Duration::from_millis(500));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let floods = start_flood(&gateway, cancelled_requests, &is_over);
+    thread::sleep(FLOOD_TIME);
+    let early_kb = peak_memory_kb(gateway.process.id());
+    thread::sleep(2 * FLOOD_TIME);
+    let late_kb = peak_memory_kb(gateway.process.id());
+    is_over.store(true, Ordering::Relaxed);
+    drop(gateway);
+    for flood in floods {
+        flood.join().unwrap();
+    }
+    assert!(
+        late_kb < early_kb + MAX_GROWTH_KB,
+        "{early_kb} kB, later {late_kb} kB"
+    );
+}
--- a/src/policy/attempt.rs
+++ b/src/policy/attempt.rs
@@ -55,7 +55,7 @@
         class.running.start(threads, now);
     }
 
-    /// Counts a retry, and drops retries and arrivals older than the window of the retry budget.
+    /// Counts a retry, and drops retries older than the window of the retry budget.
     fn count_against_retry_budget(&mut self, is_retry: bool) {
         if is_retry {
             self.retries.push_back(self.now);
@@ -63,7 +63,6 @@
         let window: Millis = self.config.retry_budget.map_or(0.0, |budget| budget.window);
         let window_start = self.now - window;
         self.retries.retain(|&at| at >= window_start);
-        self.arrivals.retain(|&at| at >= window_start);
     }
 
     /// Adds the attempt's threads and work to the engine. On an ejected engine the attempt is a
--- a/src/policy/events/request.rs
+++ b/src/policy/events/request.rs
@@ -43,7 +43,7 @@
         self.store_request(index, request, work, objective);
         self.join_key_queue(index);
         self.record_table_group(request.table_group, work);
-        self.arrivals.push_back(now);
+        self.record_arrival();
         self.probe_tokens = (self.probe_tokens + PROBE_TOKENS_PER_REQUEST).min(MAX_PROBE_TOKENS);
         if self.config.classes[request.class].out_of_service {
             self.reject_or_fail(index, self.config.max_retry_after, actions);
--- a/src/state/gateway.rs
+++ b/src/state/gateway.rs
@@ -27,8 +27,8 @@
     pub(crate) engine_order_by_table_group: RefCell<HashMap<u64, Vec<u32>>>,
     pub(crate) work_by_table_group: HashMap<u64, DecayingMean>,
     pub(crate) key_queues: BTreeMap<u64, KeyQueue>,
-    /// When requests arrived, within the window of the retry budget.
-    pub(crate) arrivals: VecDeque<Millis>,
+    /// The requests that arrived within the window of the retry budget, oldest first.
+    pub(crate) arrivals: VecDeque<ArrivalCount>,
     /// When retries were sent, within the window of the retry budget.
     pub(crate) retries: VecDeque<Millis>,
     /// The number of probes that may be sent now; each request adds a fraction.
@@ -53,6 +53,15 @@
     pub(crate) resubscribe_at: Option<Millis>,
 }
 
+/// Requests that arrived at about the same time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ArrivalCount {
+    /// When the first of them arrived.
+    pub(crate) at: Millis,
+    /// Their number.
+    pub(crate) count: f64,
+}
+
 impl Gateway {
     /// The work of a typical request of a class, in ms on a thread. While none is known, the work
     /// that fills the class's base objective.
