An id whose client left after an attempt has started is refused when it comes again

Reproduced on: a non-idempotent request is at its engine, its client closes, half-closes, resets or cancels, the engine completes it; the same id from another client reaches the engine again.

Cause: an id was refused only while its request was open.

--- a/crates/gateway/src/client/inbound.rs
+++ b/crates/gateway/src/client/inbound.rs
@@ -9,6 +9,9 @@
 
 /// Most bytes that are read at once.
 const READ_BYTES: usize = 8 * 1024;
+/// Most reads of a long message before other clients have their turn. With fewer, the gateway would be so far behind a
+/// client that sends long messages that it would learn of the client's close, which comes after them, too late.
+const MAX_READS: usize = 8;
 
 /// The received bytes of one connection.
 pub(super) struct Inbound {
@@ -27,12 +30,30 @@
         }
     }
 
-    /// Reads once, without waiting. Returns the number of bytes, which is 0 at the end of the stream; `None` if nothing
-    /// has arrived.
+    /// Reads without waiting: once, or several times while a long message arrives. Returns the number of bytes, which is
+    /// 0 at the end of the stream; `None` if nothing has arrived.
     ///
     /// # Errors
     /// The connection has failed.
-    pub(super) fn read(&mut self, mut stream: &TcpStream) -> io::Result<Option<usize>> {
+    pub(super) fn read(&mut self, stream: &TcpStream) -> io::Result<Option<usize>> {
+        let mut total = None;
+        for _ in 0..MAX_READS {
+            match self.read_once(stream)? {
+                // The end is returned by the next call.
+                None | Some(0) if total.is_some() => break,
+                None => break,
+                Some(length) => {
+                    total = Some(total.unwrap_or(0) + length);
+                    if length < READ_BYTES || !self.decoder.is_message_incomplete() {
+                        break;
+                    }
+                }
+            }
+        }
+        Ok(total)
+    }
+
+    fn read_once(&mut self, mut stream: &TcpStream) -> io::Result<Option<usize>> {
         let mut received = [0; READ_BYTES];
         match stream.read(&mut received) {
             Ok(length) => {
--- a/crates/gateway/src/client/reader.rs
+++ b/crates/gateway/src/client/reader.rs
@@ -36,6 +36,17 @@
     Io(#[from] io::Error),
 }
 
+/// What complete messages contained.
+#[derive(Default)]
+struct MessageBatch {
+    message_count: usize,
+    requests: Vec<DispatcherMessage>,
+    /// No complete message is left.
+    is_complete: bool,
+    /// The messages after the last one cannot be read.
+    error: Option<FrameError>,
+}
+
 /// What ends the wait for further bytes.
 enum Wake {
     Readable,
@@ -154,24 +165,55 @@
     ) -> Result<(), ReadError> {
         let mut has_handled = false;
         self.reject_skipped_call(inbound);
-        while let Some(message) = self.next_message(inbound)? {
-            let request = self.on_message(message);
-            has_handled = true;
-            if let Some(request) = request {
+        loop {
+            let batch = self.read_batch(inbound);
+            has_handled |= batch.message_count > 0;
+            for request in batch.requests {
                 self.send_request(stream, request).await?;
+                // Clients take turns request by request, however many one of them has sent at once.
+                yield_now().await;
+            }
+            if let Some(error) = batch.error {
+                return Err(error.into());
             }
             self.until_replies_are_read(stream).await?;
-            if self.is_ending.get() && self.open_calls.borrow().is_empty() {
+            if self.has_ended() {
                 self.unless_hung_up(stream, self.until_drained()).await?;
                 return Err(ReadError::Ended);
             }
-            if inbound.decoder.has_unread() {
-                // Clients take turns message by message, however many messages one of them has sent at once.
-                yield_now().await;
+            if batch.is_complete {
+                inbound.settle(self.shared.clock.now(), has_handled);
+                return Ok(());
             }
         }
-        inbound.settle(self.shared.clock.now(), has_handled);
-        Ok(())
+    }
+
+    /// Reads the messages that are complete, until as many replies wait as may be queued. All of them are read before
+    /// the first request is sent on: a cancellation that has arrived with its request keeps it from being sent.
+    fn read_batch(&self, inbound: &mut Inbound) -> MessageBatch {
+        let mut batch = MessageBatch::default();
+        while self.replies.len() < MAX_OPEN_CALLS && !self.has_ended() {
+            match self.next_message(inbound) {
+                Ok(Some(message)) => {
+                    batch.message_count += 1;
+                    batch.requests.extend(self.on_message(message));
+                }
+                Ok(None) => {
+                    batch.is_complete = true;
+                    break;
+                }
+                Err(error) => {
+                    batch.error = Some(error);
+                    break;
+                }
+            }
+        }
+        batch
+    }
+
+    /// Whether the connection has to end, and no call is open on it any more.
+    fn has_ended(&self) -> bool {
+        self.is_ending.get() && self.open_calls.borrow().is_empty()
     }
 
     fn next_message<'a>(&self, inbound: &'a mut Inbound) -> Result<Option<&'a [u8]>, FrameError> {
@@ -210,6 +252,13 @@
         stream: &Async<TcpStream>,
         request: DispatcherMessage,
     ) -> Result<(), ReadError> {
+        if let DispatcherMessage::NewRequest(new) = &request {
+            let is_open = self.open_calls.borrow().contains_key(&new.call_id);
+            // The client has cancelled the call since.
+            if !new.client_is_waiting.get() && !is_open {
+                return Ok(());
+            }
+        }
         let sent = self.unless_hung_up(stream, self.shared.dispatcher.send(request));
         sent.await?.map_err(|_| ReadError::DispatcherEnded)
     }
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -2,6 +2,7 @@
 //! state of all open requests, and never waits for another actor.
 
 mod config_update;
+mod departed_requests;
 mod endpoints;
 mod executor;
 mod requests;
--- a/crates/gateway/src/dispatcher/executor.rs
+++ b/crates/gateway/src/dispatcher/executor.rs
@@ -1,5 +1,6 @@
 //! Executes the policy's actions, and holds the state of all open requests and endpoints.
 
+use super::departed_requests::DepartedRequests;
 use crate::engine::Engine;
 use async_channel::Sender;
 use ironstair::interner::Interner;
@@ -35,6 +36,8 @@
     pub(super) reply_to: Option<Sender<Reply>>,
     /// Cleared by the actor of the client's connection; this takes effect before any queued message.
     pub(super) client_is_waiting: Rc<Cell<bool>>,
+    /// The client has cancelled the request, or closed its connection.
+    pub(super) has_client_left: bool,
     /// The attempt in flight.
     pub(super) sent_attempt: Option<SentAttempt>,
     /// Indices of the engines that it was sent to. The policy refers to them as long as the request is open.
@@ -86,6 +89,8 @@
     /// Open requests by index.
     pub(super) requests: Vec<Option<OpenRequest>>,
     pub(super) open_requests: usize,
+    /// Requests that may have run, and whose client left.
+    pub(super) departed_requests: DepartedRequests,
     /// Assigns indices to engines.
     pub(super) engine_ids: Interner<u64>,
     /// Endpoints by index.
@@ -112,6 +117,7 @@
             request_ids: Interner::default(),
             requests: Vec::new(),
             open_requests: 0,
+            departed_requests: DepartedRequests::default(),
             engine_ids: Interner::default(),
             engines: Vec::new(),
             next_wake_at: None,
@@ -345,8 +351,13 @@
 
     fn forget(&mut self, request: usize) {
         let forgotten = self.requests.get_mut(request).and_then(Option::take);
-        if forgotten.is_some() {
+        if let Some(forgotten) = forgotten {
             self.set_open_requests(self.open_requests - 1);
+            if forgotten.has_client_left && !forgotten.used_connections.is_empty() {
+                let id = self.request_ids.id(request);
+                let until = self.now + self.shared.longest_deadline.get();
+                self.departed_requests.insert(id, until);
+            }
         }
         self.request_ids.release(request);
     }
--- a/crates/gateway/src/dispatcher/requests.rs
+++ b/crates/gateway/src/dispatcher/requests.rs
@@ -10,12 +10,13 @@
 use std::rc::Rc;
 
 impl Dispatcher {
-    /// Passes a new request to the policy. A request is answered here if its id is in use, too many requests are open,
+    /// Passes a new request to the policy. A request is answered here if its id is in use or was left by its client, too many requests are open,
     /// or the cells reject it for lack of a ready engine.
     pub(super) fn on_request(&mut self, new: NewRequest) {
         let executor = &mut self.executor;
-        if executor.request_ids.find(new.id).is_some() {
-            // The id continues to refer to the open request. The send fails only if the client is gone.
+        let is_open = executor.request_ids.find(new.id).is_some();
+        if is_open || executor.departed_requests.contains(&new.id, executor.now) {
+            // The id continues to refer to the earlier request. The send fails only if the client is gone.
             let _ = new.reply_to.try_send(Reply::DuplicateId(new.call_id));
             return;
         }
@@ -67,6 +68,7 @@
             priority: None,
             reply_to: Some(new.reply_to),
             client_is_waiting: new.client_is_waiting,
+            has_client_left: false,
             sent_attempt: None,
             tried_engines: Vec::new(),
             used_connections: Rc::default(),
@@ -83,6 +85,7 @@
             return;
         };
         request.reply_to = None;
+        request.has_client_left = true;
         let class = request.class;
         self.executor.counts(class).cancelled += 1;
         let now = self.executor.now;
@@ -92,6 +95,9 @@
     /// The client has closed the connection, or at least its sending half: no further attempt of the request starts.
     pub(super) fn on_client_closed(&mut self, id: RequestId, client: &Sender<Reply>) {
         if let Some(index) = self.request_of_client(id, client) {
+            if let Some(request) = self.executor.request(index) {
+                request.has_client_left = true;
+            }
             let now = self.executor.now;
             self.policy.on_client_closed(now, index, &mut self.executor);
         }
--- a/crates/gateway/src/dispatcher_tests.rs
+++ b/crates/gateway/src/dispatcher_tests.rs
@@ -81,6 +81,7 @@
         priority: None,
         reply_to: None,
         client_is_waiting: Rc::new(Cell::new(true)),
+        has_client_left: false,
         sent_attempt: None,
         tried_engines: Vec::new(),
         used_connections: Rc::default(),
--- a/crates/gateway/tests/crossings/client_hangup.rs
+++ b/crates/gateway/tests/crossings/client_hangup.rs
@@ -153,8 +153,8 @@
 
 #[test]
 fn client_that_closes_while_the_gateway_does_not_read_it_has_no_attempt_started() {
-    // The requests of another client occupy more than half of the buffers. The gateway then stops reading from this
-    // client, whose close comes after bytes that are not read, and must be noticed all the same.
+    // At a gateway with little memory, of which another client's requests hold a part, the close comes right behind
+    // requests that may not be read yet, and must be noticed all the same.
     let (engine_address, full_listener) = FullListener::bind();
     let gateway = start_with_limits("unread", &[("e1", engine_address)], 1, 64);
     let mut client = Client::connect(&gateway);
@@ -164,7 +164,6 @@
     let calls =
         (100..130).map(|call| framed(&call_with_long_deadline(call, "lookup", "c2VsZWN0IDE=")));
     let calls: String = calls.chain([framed(&marker_message())]).collect();
-    // In one write, so that the gateway reads all of it, however many buffers are free by then.
     let socket = occupying_client.0.get_mut();
     socket.write_all(calls.as_bytes()).unwrap();
     wait_for_marker_answer(&mut occupying_client);
--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -8,6 +8,7 @@
 mod client_close;
 mod client_hangup;
 mod connection_limits;
+mod departed_clients;
 mod engine_connection;
 mod late_replies;
 mod name_service;
--- a/crates/protocol/src/message_decoder.rs
+++ b/crates/protocol/src/message_decoder.rs
@@ -2,7 +2,7 @@
 //! a frame header states. The rest of a message can be skipped, which needs no memory.
 
 use crate::call_id::CallIdScanner;
-use crate::rpc::{frame_header, FrameError};
+use crate::rpc::{frame_header, FrameError, FrameHeader};
 
 /// Splits a byte stream into messages.
 #[derive(Debug, Default)]
@@ -109,16 +109,20 @@
         matches!(frame_header(self.unread()), Ok(Some(_)))
     }
 
+    /// Whether the rest of a message of known length is missing.
+    pub fn is_message_incomplete(&self) -> bool {
+        let unread = self.unread();
+        let header = frame_header(unread).ok().flatten();
+        let is_missing =
+            |header: FrameHeader| header.header_bytes + header.message_bytes > unread.len();
+        self.is_skipping() || header.is_some_and(is_missing)
+    }
+
     /// Whether part of a message has arrived, skipped ones included.
     pub fn is_incomplete(&self) -> bool {
         self.is_skipping() || !self.unread().is_empty()
     }
 
-    /// Whether bytes are held that [`MessageDecoder::next_message`] has not returned.
-    pub fn has_unread(&self) -> bool {
-        !self.unread().is_empty()
-    }
-
     /// The memory that is held, in bytes. Releases that of consumed messages.
     pub fn trim(&mut self) -> usize {
         if self.unread().is_empty() {
--- a/crates/runtime/src/used_connections.rs
+++ b/crates/runtime/src/used_connections.rs
@@ -29,6 +29,11 @@
         self.0.borrow().contains(&connection)
     }
 
+    /// Whether no attempt of the request has started.
+    pub fn is_empty(&self) -> bool {
+        self.0.borrow().is_empty()
+    }
+
     /// Records that an attempt of the request starts on this connection.
     pub(crate) fn insert(&self, connection: u64) {
         self.0.borrow_mut().push(connection);
