A possible run keeps the zone and deduplication domain in which it was sent

Reproduced on the code before: a keyed request whose repeats are recognized within the cell is at e1 in cell 1; the list then has e1 in cell 2, at another address and with a new start time; the request is sent there, too.

Cause: a possible run held the index of its engine, and zone and domain were looked up when a repeat was decided. The entry was the new process's by then.

Change: the possible run holds both as they were when it was sent.

Evidence: replaced_engines.rs in tests/crossings; the first test was red before ("the request ran in two cells") and is green now, the second (another engine at the address of one that is gone) held before. The decision trace keeps its hashes.

--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -14,4 +14,5 @@
 mod name_service;
 mod patient_gateway;
 mod random_replies;
+mod replaced_engines;
 mod shutdown;
--- a/src/policy/attempt.rs
+++ b/src/policy/attempt.rs
@@ -32,10 +32,12 @@
     /// Records the attempt in flight in the request and in its class.
     fn record_start(&mut self, index: usize, engine: usize) {
         let now = self.now;
+        let endpoint = self.engines[engine].endpoint;
         let pending = &mut self.requests[index];
         pending.attempts += 1;
         pending.possible_runs.push(PossibleRun {
-            engine,
+            zone: endpoint.zone,
+            dedup_domain: endpoint.dedup_domain,
             sent_at: now,
         });
         pending.in_flight_attempt = Some(Attempt {
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -3,8 +3,8 @@
 use super::pace::WORK_HALF_LIFE;
 use super::Gateway;
 use crate::random::mix;
-use crate::state::{Engine, PendingRequest};
-use crate::{ClassPolicy, DedupScope, Effect, Endpoint};
+use crate::state::{Engine, PendingRequest, PossibleRun};
+use crate::{ClassPolicy, DedupScope, Effect};
 
 /// The smallest number of home engines of a table group: those whose caches hold its data. More of
 /// them would spread the same data over more caches.
@@ -30,7 +30,7 @@
     fn may_run_on(&self, pending: &PendingRequest, engine: &Engine) -> bool {
         let policy = &self.config.classes[pending.request.class];
         let endpoint = &engine.endpoint;
-        let recognizes_repeat = |earlier: &Endpoint| match policy.effect {
+        let recognizes_repeat = |earlier: &PossibleRun| match policy.effect {
             Effect::Deduplicated(DedupScope::Zone) => earlier.zone == endpoint.zone,
             Effect::Deduplicated(DedupScope::DedupDomain) => {
                 earlier.dedup_domain == endpoint.dedup_domain
@@ -44,7 +44,7 @@
             && policy.fits(endpoint)
             && pending.class_policy.fits(endpoint)
             && engine.is_in_cells(pending.request.cells)
-            && runs.all(|run| recognizes_repeat(&self.engines[run.engine].endpoint))
+            && runs.all(recognizes_repeat)
     }
 
     /// The engines that the request may go to now, in order of preference. The order is a
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -26,7 +26,11 @@
 /// An attempt that is running, or may have run before it ended.
 #[derive(Clone, Copy)]
 pub(crate) struct PossibleRun {
-    pub(crate) engine: usize,
+    /// The zone of its engine when it was sent. The engine's entry may since be that of another
+    /// process, in another zone or deduplication domain.
+    pub(crate) zone: u16,
+    /// The deduplication domain of its engine when it was sent.
+    pub(crate) dedup_domain: u16,
     pub(crate) sent_at: Millis,
 }
 
