A client's reader waits for bytes after a short read in place of reading again

The reader tried to read once more after every message, which costs a system call that finds nothing, and gave the thread back although it was about to wait. Now it does both only if the last read filled its buffer. The suites serve, crossings and client_isolation pass.

--- a/crates/gateway/src/client/inbound.rs
+++ b/crates/gateway/src/client/inbound.rs
@@ -19,6 +19,8 @@
     pub(super) memory: ReceiveShare,
     /// When the first byte of an incomplete message arrived; `None` between two messages.
     pub(super) incomplete_since: Option<Millis>,
+    /// Whether more may have arrived than was read.
+    pub(super) may_have_more: bool,
 }
 
 impl Inbound {
@@ -27,6 +29,7 @@
             decoder: MessageDecoder::default(),
             memory: memory.share(),
             incomplete_since: None,
+            may_have_more: true,
         }
     }
 
@@ -38,13 +41,15 @@
     pub(super) fn read(&mut self, stream: &TcpStream) -> io::Result<Option<usize>> {
         let mut total = None;
         for _ in 0..MAX_READS {
-            match self.read_once(stream)? {
+            let read = self.read_once(stream)?;
+            self.may_have_more = read == Some(READ_BYTES);
+            match read {
                 // The end is returned by the next call.
                 None | Some(0) if total.is_some() => break,
                 None => break,
                 Some(length) => {
                     total = Some(total.unwrap_or(0) + length);
-                    if length < READ_BYTES || !self.decoder.is_message_incomplete() {
+                    if !self.may_have_more || !self.decoder.is_message_incomplete() {
                         break;
                     }
                 }
--- a/crates/gateway/src/client/reader.rs
+++ b/crates/gateway/src/client/reader.rs
@@ -82,8 +82,10 @@
             }
             self.check_hangup(stream)?;
             self.handle_messages(stream, &mut inbound).await?;
-            // A client that sends without a pause must not keep the other tasks from running.
-            yield_now().await;
+            if inbound.may_have_more {
+                // A client that sends without a pause must not keep the other tasks from running.
+                yield_now().await;
+            }
         }
     }
 
@@ -94,11 +96,13 @@
         inbound: &mut Inbound,
     ) -> Result<usize, ReadError> {
         loop {
-            if let Some(length) = inbound.read(stream.get_ref())? {
-                return Ok(length);
+            if inbound.may_have_more {
+                if let Some(length) = inbound.read(stream.get_ref())? {
+                    return Ok(length);
+                }
             }
             match self.wait_for_bytes(stream, inbound).await {
-                Ok(Wake::Readable) => {}
+                Ok(Wake::Readable) => inbound.may_have_more = true,
                 Ok(Wake::ReleaseRequested) => {
                     inbound.skip_message();
                     self.reject_skipped_call(inbound);
