--- a/crates/gateway/tests/client_isolation/connection_ends.rs
+++ b/crates/gateway/tests/client_isolation/connection_ends.rs
@@ -176,7 +176,7 @@
 
 #[test]
 fn open_call_is_answered_although_the_client_half_closes_within_a_message() {
-    // A client that ends its sending half still waits for the answers to what it has sent before.
+    // After a half-close the client still waits for the answers to its earlier calls.
     for (test, missing_bytes) in [("ends-short", 40), ("ends-long", 40_000)] {
         let mut open = OpenCall::start(test);
         let statement = "QUJD".repeat(missing_bytes / 2);
--- a/crates/runtime/tests/receive_memory.rs
+++ b/crates/runtime/tests/receive_memory.rs
@@ -1,4 +1,4 @@
-//! The memory for incomplete messages: who has to release it when it is used up.
+//! The memory for incomplete messages: which share is released when it is used up.
 
 use futures_lite::future::{block_on, poll_once};
 use ironstair_runtime::receive_memory::{ReceiveMemory, ReceiveShare};
