--- a/crates/gateway/tests/floods/unread_answers.rs
+++ b/crates/gateway/tests/floods/unread_answers.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-const CLIENTS: u64 = 8;
+const CLIENTS: u64 = 40;
 const CALLS_PER_CLIENT: u64 = 32;
 const PAGES: usize = 8;
 const PAGE_BYTES: usize = 5_994;
